Add the workspace, the shared data types and the design page

Cause: the packages, the message types and the conventions come first, so that the parts can be built independently of each other.

--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,5 @@
+#include <iostream>
+
+int main() {
+    std::cout << "persimmonstile " << PERSIMMONSTILE_VERSION << '\n';
+}
--- /dev/null
+++ b/coordination/ownership_actions.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "state/control_message.h"
+#include "state/incarnation.h"
+#include "state/owner_table.h"
+
+#include <optional>
+#include <vector>
+
+namespace persimmonstile {
+
+// A control message for one connected agent.
+struct control_send {
+    incarnation to;
+    control_message message;
+};
+
+// Write this table if the store's value still has modification revision expected_mod (0: the key must not
+// exist).
+struct table_write {
+    owner_table table;
+    std::int64_t expected_mod = 0;
+};
+
+// This entry owns the partition from now on. suspects are all agent incarnations that may have started tasks
+// under earlier epochs; empty with first_epoch set means that no earlier owner existed.
+struct partition_gain {
+    partition_id partition = 0;
+    epoch_number epoch = 0;
+    bool first_epoch = false;
+    std::vector<incarnation> suspects;
+};
+
+// What the entry has to do after an event, in this order.
+struct ownership_actions {
+    std::vector<control_send> sends;
+    std::vector<partition_gain> gained;
+    std::vector<partition_id> lost;
+    std::optional<table_write> write;
+    bool read_table = false;
+    bool table_changed = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,5 @@
+#include <iostream>
+
+int main() {
+    std::cout << "persimmonstiled " << PERSIMMONSTILE_VERSION << '\n';
+}
--- /dev/null
+++ b/protocol/daemon_settings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// Role of a daemon process.
+enum class daemon_role : std::uint8_t { entry, agent };
+
+// Settings of one daemon process, from one JSON file and command line overrides. Addresses are "ip:port";
+// port 0 lets the system choose.
+struct daemon_settings {
+    daemon_role role = daemon_role::entry;
+    // Name of the process within its cell. A restart keeps it.
+    std::string name;
+    std::string zone;
+    std::string rack;
+    // HTTP: callers and operators at an entry, announcements at an agent, health and metrics at both.
+    std::string http_address = "127.0.0.1:0";
+    // Entries only: where agents and other entries connect.
+    std::string peer_address = "127.0.0.1:0";
+    // Entries only: base URLs of the store.
+    std::vector<std::string> store_endpoints;
+    // Peer addresses of entries that are tried first. The owner table names the rest.
+    std::vector<std::string> peers;
+    // Prefix of the cell's keys in the store.
+    std::string cell = "default";
+    std::uint32_t minimum_grantors = 3;
+    std::uint32_t threads = 2;
+    // Longest time for which a graceful shutdown waits for requests in progress.
+    std::uint32_t shutdown_timeout_ms = 30000;
+    // One of trace, debug, info, warn, error.
+    std::string log_level = "info";
+    // File that spans are appended to, or base URL of an OTLP/HTTP collector; empty for none.
+    std::string trace_file;
+    std::string trace_url;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/agent_status.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/incarnation.h"
+#include "state/service_capacity.h"
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// Agent to entry, on connecting and on every change: who the agent is and what it can run.
+// services is empty while no backend server is announced or the backend server leaves.
+struct agent_status {
+    incarnation agent;
+    std::string zone;
+    std::string rack;
+    bool draining = false;
+    config_revision revision = 0;
+    std::vector<service_capacity> services;
+
+    static constexpr auto members() {
+        return std::make_tuple(&agent_status::agent, &agent_status::zone, &agent_status::rack,
+                               &agent_status::draining, &agent_status::revision, &agent_status::services);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/config_push.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "state/ids.h"
+
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Carries the fleet configuration to a process that has an older one. content is the JSON document in the
+// store.
+struct config_push {
+    config_revision revision = 0;
+    std::string content;
+
+    static constexpr auto members() { return std::make_tuple(&config_push::revision, &config_push::content); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/content_request.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Asks a peer for its owner table and configuration, where these are newer than the asker's.
+struct content_request {
+    std::uint64_t known_version = 0;
+    std::uint64_t known_revision = 0;
+
+    static constexpr auto members() {
+        return std::make_tuple(&content_request::known_version, &content_request::known_revision);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/entry_hello.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "state/incarnation.h"
+
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// First message of an entry on a connection to another entry or in answer to an agent's status.
+struct entry_hello {
+    incarnation entry;
+    std::string address;
+
+    static constexpr auto members() { return std::make_tuple(&entry_hello::entry, &entry_hello::address); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/forward_lookup.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "state/ids.h"
+
+#include <tuple>
+
+namespace persimmonstile {
+
+// Entry to owner: a GET (cancel false) or DELETE (cancel true) that arrived at another entry.
+struct forward_lookup {
+    caller_token token = 0;
+    job_id job;
+    bool cancel = false;
+
+    static constexpr auto members() {
+        return std::make_tuple(&forward_lookup::token, &forward_lookup::job, &forward_lookup::cancel);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/job_outcome.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "state/failure_reason.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace persimmonstile {
+
+// A job whose tasks all succeeded. answers[i] is the JSON text that task i returned.
+struct job_complete {
+    std::vector<std::string> answers;
+
+    static constexpr auto members() { return std::make_tuple(&job_complete::answers); }
+};
+
+// A job that ended without a whole answer. retry_after_ms is set on not_run refusals that may succeed later.
+// at_capacity tells a refusal because of load or quota (HTTP 429) from an unavailable service (503).
+struct job_failed {
+    failure_reason reason = failure_reason::outcome_unknown;
+    std::string detail;
+    std::int64_t retry_after_ms = 0;
+    bool at_capacity = false;
+
+    std::chrono::milliseconds retry_after() const { return std::chrono::milliseconds{retry_after_ms}; }
+
+    static constexpr auto members() {
+        return std::make_tuple(&job_failed::reason, &job_failed::detail, &job_failed::retry_after_ms,
+                               &job_failed::at_capacity);
+    }
+};
+
+using job_outcome = std::variant<job_complete, job_failed>;
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/job_reply.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "state/job_outcome.h"
+
+#include <variant>
+
+namespace persimmonstile {
+
+// The job is known and has not ended.
+struct job_pending {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// No job with this id is known within the deduplication window.
+struct job_not_found {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// The id was used before with another body.
+struct job_conflict {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// This entry does not own the partition (any more); the asking entry looks up the owner again.
+struct job_wrong_owner {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// What an owner tells a caller or a forwarding entry about a job.
+using job_reply = std::variant<job_outcome, job_pending, job_not_found, job_conflict, job_wrong_owner>;
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/job_report.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/incarnation.h"
+#include "state/task_report.h"
+
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// Agent to new owner, in answer to query_job: every task of the job that this incarnation started, and
+// those it accepted and gave up. An empty list means that the job never reached it.
+struct job_report {
+    incarnation agent;
+    partition_id partition = 0;
+    epoch_number epoch = 0;
+    job_id job;
+    std::vector<task_report> reports;
+
+    static constexpr auto members() {
+        return std::make_tuple(&job_report::agent, &job_report::partition, &job_report::epoch,
+                               &job_report::job, &job_report::reports);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/recovery_reply.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "state/incarnation.h"
+#include "state/owner_table.h"
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// One grantor's answer to recovery_request, passed on by the entry. A grantor that recovers itself does not
+// answer.
+struct recovery_reply {
+    incarnation asker;
+    std::uint64_t nonce = 0;
+    incarnation grantor;
+    owner_table table;
+    std::vector<incarnation> recorded;
+
+    static constexpr auto members() {
+        return std::make_tuple(&recovery_reply::asker, &recovery_reply::nonce, &recovery_reply::grantor,
+                               &recovery_reply::table, &recovery_reply::recorded);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/service_capacity.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// What the backend server beside an agent announced for one service.
+struct service_capacity {
+    std::string service;
+    std::uint32_t slots = 0;
+
+    bool operator==(const service_capacity&) const = default;
+
+    static constexpr auto members() {
+        return std::make_tuple(&service_capacity::service, &service_capacity::slots);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/table_push.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "state/owner_table.h"
+
+#include <tuple>
+
+namespace persimmonstile {
+
+// Carries the owner table to a process that has an older one.
+struct table_push {
+    owner_table table;
+
+    static constexpr auto members() { return std::make_tuple(&table_push::table); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/task_message.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "state/dispatch.h"
+#include "state/forward_job.h"
+#include "state/forward_lookup.h"
+#include "state/job_report.h"
+#include "state/job_result.h"
+#include "state/query_job.h"
+#include "state/revoke.h"
+#include "state/task_reports.h"
+
+#include <variant>
+
+namespace persimmonstile {
+
+// Every message of the task plane. The position of an alternative is its code on the wire, so new ones go
+// last.
+using task_message = std::variant<dispatch, revoke, query_job, task_reports, job_report, forward_job,
+                                  forward_lookup, job_result>;
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/task_report.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/refusal.h"
+#include "state/task_status.h"
+
+#include <chrono>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// What happened to one task on one agent.
+struct task_report {
+    task_index index = 0;
+    task_status status = task_status::unknown;
+    refusal reason = refusal::none;
+    // The answer's JSON text if succeeded, otherwise a description of the error.
+    std::string text;
+    // Time between acceptance by the agent and the start, and between the start and the end.
+    std::int64_t queue_us = 0;
+    std::int64_t run_us = 0;
+
+    std::chrono::microseconds queue_time() const { return std::chrono::microseconds{queue_us}; }
+    std::chrono::microseconds run_time() const { return std::chrono::microseconds{run_us}; }
+
+    static constexpr auto members() {
+        return std::make_tuple(&task_report::index, &task_report::status, &task_report::reason,
+                               &task_report::text, &task_report::queue_us, &task_report::run_us);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/view_ping.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Agent to entry, every view_ping_interval: its own clock reading, which the entry echoes in view_pong.
+struct view_ping {
+    std::int64_t sent_ns = 0;
+
+    static constexpr auto members() { return std::make_tuple(&view_ping::sent_ns); }
+};
+
+} // namespace persimmonstile
