--- /dev/null
+++ b/coordination/agent_tasks.cpp
@@ -0,0 +1,463 @@
+#include "coordination/agent_tasks.h"
+
+#include "state/limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// A queue of one task for each slot hides the round trip to the owner; more would hold tasks that a faster
+// agent could have run.
+constexpr std::uint32_t queued_per_slot = 1;
+
+// A call is given up this long after the deadline of its job. The owner has answered the caller by then, and
+// the slot of a backend server that never answers becomes free.
+constexpr milliseconds give_up_margin{1000};
+
+// Accepted tasks that may not start for this long are handed back to the owner.
+constexpr milliseconds blocked_queue_limit{500};
+
+task_report unstarted_report(task_index index, std::uint32_t attempt, refusal reason) {
+    task_report report;
+    report.index = index;
+    report.attempt = attempt;
+    report.status = task_status::not_started;
+    report.reason = reason;
+    return report;
+}
+
+std::int64_t elapsed_us(time_point from, time_point to) {
+    return std::chrono::duration_cast<microseconds>(to - from).count();
+}
+
+task_status status_of(backend_result_kind kind) {
+    switch (kind) {
+    case backend_result_kind::answered:
+        return task_status::succeeded;
+    case backend_result_kind::error:
+        return task_status::failed;
+    case backend_result_kind::declined:
+        return task_status::not_started;
+    case backend_result_kind::lost:
+        return task_status::unknown;
+    }
+    return task_status::unknown;
+}
+
+} // namespace
+
+agent_tasks::agent_tasks(incarnation self, std::string zone, std::string rack)
+    : self_{std::move(self)}
+    , zone_{std::move(zone)}
+    , rack_{std::move(rack)} {}
+
+agent_actions agent_tasks::set_table(const owner_table& table, time_point now) {
+    agent_actions actions;
+    if (table.version <= table_version_)
+        return actions;
+    table_version_ = table.version;
+    for (std::size_t i = 0; i < table.partitions.size() && i < epochs_.size(); ++i)
+        epochs_[i] = std::max(epochs_[i], table.partitions[i].epoch);
+    start_queued(now, actions);
+    return actions;
+}
+
+agent_actions agent_tasks::set_fleet(std::shared_ptr<const fleet_view> fleet, time_point now) {
+    agent_actions actions;
+    if (fleet_ && fleet->revision <= fleet_->revision)
+        return actions;
+    fleet_ = std::move(fleet);
+    if (fleet_->is_zone_out(zone_))
+        refuse_queued(refusal::zone_out, now, actions);
+    start_queued(now, actions);
+    return actions;
+}
+
+agent_actions agent_tasks::extend_lease(time_point until, time_point now) {
+    agent_actions actions;
+    lease_until_ = std::max(lease_until_, until);
+    start_queued(now, actions);
+    return actions;
+}
+
+agent_actions agent_tasks::set_recorded(time_point now) {
+    agent_actions actions;
+    recorded_ = true;
+    start_queued(now, actions);
+    return actions;
+}
+
+agent_actions agent_tasks::drain(time_point now) {
+    agent_actions actions;
+    draining_ = true;
+    refuse_queued(refusal::draining, now, actions);
+    return actions;
+}
+
+bool agent_tasks::announced(const announcement& announced, time_point now) {
+    backend& server = backends_[announced.service];
+    const bool changed = server.announced != announced;
+    server.announced = announced;
+    server.last_announced = now;
+    return changed;
+}
+
+agent_actions agent_tasks::dispatched(const incarnation& owner, const dispatch& message, time_point now) {
+    agent_actions actions;
+    // Only the named incarnation can say what became of the tasks, so another one must not answer.
+    if (message.target != self_) {
+        ++stale_messages_;
+        return actions;
+    }
+    const bool stale = message.partition >= epochs_.size() || message.epoch < epochs_[message.partition];
+    job_tasks refused_job;
+    if (stale) {
+        ++stale_messages_;
+        refused_job.owner = owner;
+        refused_job.service = message.service;
+        refused_job.epoch = message.epoch;
+        std::vector<task_report> reports;
+        for (const task_payload& task : message.tasks)
+            reports.push_back(unstarted_report(task.index, task.attempt, refusal::stale_epoch));
+        report(message.job, refused_job, std::move(reports), actions);
+        return actions;
+    }
+    epochs_[message.partition] = message.epoch;
+    const std::uint64_t own_revision = fleet_ ? fleet_->revision : 0;
+    if (message.revision > own_revision) {
+        required_revision_ = std::max(required_revision_, message.revision);
+        actions.fetch_from = owner;
+    }
+    job_tasks& job = jobs_[message.job];
+    job.owner = owner;
+    job.service = message.service;
+    job.traceparent = message.traceparent;
+    job.partition = message.partition;
+    job.epoch = message.epoch;
+    job.deadline = now + message.remaining();
+    job.changed = now;
+    std::vector<task_report> reports;
+    for (const task_payload& task : message.tasks) {
+        const auto known = job.tasks.find(task.index);
+        if (known != job.tasks.end()) {
+            task_record& record = known->second;
+            const bool later =
+                std::pair{message.epoch, task.attempt} > std::pair{record.epoch, record.attempt};
+            const bool unstarted =
+                record.state == phase::ended && record.report.status == task_status::not_started;
+            if (!(later && unstarted)) {
+                // A copy of a dispatch: answer with the result if there is one, otherwise it follows.
+                if (record.state == phase::ended)
+                    reports.push_back(record.report);
+                continue;
+            }
+        }
+        const std::optional<refusal> refused = refuse_reason(message, now);
+        if (!refused) {
+            accept(message, task, job, now);
+            continue;
+        }
+        task_record& record = job.tasks[task.index];
+        record = {};
+        record.epoch = message.epoch;
+        record.attempt = task.attempt;
+        record.accepted = now;
+        record.state = phase::ended;
+        record.report = unstarted_report(task.index, task.attempt, *refused);
+        reports.push_back(record.report);
+    }
+    report(message.job, job, std::move(reports), actions);
+    if (job.open == 0)
+        ended_order_.emplace_back(now, message.job);
+    start_queued(now, actions);
+    return actions;
+}
+
+std::optional<refusal> agent_tasks::refuse_reason(const dispatch& message, time_point now) const {
+    if (draining_)
+        return refusal::draining;
+    if (fleet_ && fleet_->is_zone_out(zone_))
+        return refusal::zone_out;
+    if (!recorded_)
+        return refusal::not_recorded;
+    if (message.remaining_ms <= 0)
+        return refusal::expired;
+    const auto found = backends_.find(message.service);
+    if (found == backends_.end() || found->second.announced.leaving || found->second.announced.slots == 0)
+        return refusal::no_backend_server;
+    const backend& server = found->second;
+    if (server.last_announced + announcement_lifetime < now)
+        return refusal::no_backend_server;
+    if (server.running + server.queue.size() >= server.announced.slots * (1 + queued_per_slot))
+        return refusal::queue_full;
+    return std::nullopt;
+}
+
+void agent_tasks::accept(const dispatch& message, const task_payload& task, job_tasks& job, time_point now) {
+    task_record& record = job.tasks[task.index];
+    record = {};
+    record.epoch = message.epoch;
+    record.attempt = task.attempt;
+    record.accepted = now;
+    record.body = task.body;
+    ++job.open;
+    backends_.at(message.service).queue.push_back({message.job, task.index});
+}
+
+agent_actions agent_tasks::revoked(const incarnation& owner, const revoke& message, time_point now) {
+    agent_actions actions;
+    if (message.partition >= epochs_.size() || message.epoch < epochs_[message.partition]) {
+        ++stale_messages_;
+        return actions;
+    }
+    job_tasks& job = jobs_[message.job];
+    job.owner = owner;
+    job.epoch = std::max(job.epoch, message.epoch);
+    job.partition = message.partition;
+    job.changed = now;
+    std::vector<task_report> reports;
+    for (const task_attempt& revoked : message.tasks) {
+        const auto [task, is_unknown] = job.tasks.try_emplace(revoked.index);
+        task_record& record = task->second;
+        if (is_unknown) {
+            // The dispatch is still on its way, possibly behind this message. The record makes it a copy.
+            record.epoch = message.epoch;
+            record.attempt = revoked.attempt;
+            ++job.open;
+        }
+        if (record.state == phase::queued)
+            end_unstarted(job, revoked.index, record, refusal::revoked, now);
+        if (record.state == phase::ended)
+            reports.push_back(record.report);
+    }
+    report(message.job, job, std::move(reports), actions);
+    if (job.open == 0)
+        ended_order_.emplace_back(now, message.job);
+    return actions;
+}
+
+agent_actions agent_tasks::queried(const incarnation& owner, const query_job& message, time_point now) {
+    agent_actions actions;
+    if (message.partition >= epochs_.size() || message.epoch < epochs_[message.partition]) {
+        ++stale_messages_;
+        return actions;
+    }
+    epochs_[message.partition] = message.epoch;
+    job_report answer;
+    answer.agent = self_;
+    answer.partition = message.partition;
+    answer.epoch = message.epoch;
+    answer.job = message.job;
+    const auto found = jobs_.find(message.job);
+    if (found != jobs_.end()) {
+        job_tasks& job = found->second;
+        job.owner = owner;
+        job.epoch = message.epoch;
+        for (auto& [index, record] : job.tasks) {
+            record.epoch = message.epoch;
+            if (record.state == phase::queued)
+                end_unstarted(job, index, record, refusal::revoked, now);
+            task_report entry = record.report;
+            entry.index = index;
+            entry.attempt = record.attempt;
+            if (record.state == phase::running)
+                entry.status = task_status::running;
+            answer.reports.push_back(std::move(entry));
+        }
+        if (job.open == 0)
+            ended_order_.emplace_back(now, message.job);
+        job.changed = now;
+    }
+    actions.sends.push_back({owner, std::move(answer)});
+    return actions;
+}
+
+agent_actions agent_tasks::answered(const job_id& id, task_index index, const backend_result& result,
+                                    time_point now) {
+    agent_actions actions;
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return actions;
+    job_tasks& job = found->second;
+    const auto task = job.tasks.find(index);
+    if (task == job.tasks.end() || task->second.state != phase::running)
+        return actions;
+    task_record& record = task->second;
+    record.state = phase::ended;
+    record.report.index = index;
+    record.report.attempt = record.attempt;
+    record.report.status = status_of(result.kind);
+    if (result.kind == backend_result_kind::declined)
+        record.report.reason = refusal::declined_by_backend_server;
+    record.report.text = result.text;
+    record.report.queue_us = elapsed_us(record.accepted, record.started);
+    record.report.run_us = elapsed_us(record.started, now);
+    --job.open;
+    job.changed = now;
+    --running_count_;
+    --backends_.at(job.service).running;
+    if (job.open == 0)
+        ended_order_.emplace_back(now, id);
+    start_queued(now, actions);
+    report(id, job, {record.report}, actions);
+    return actions;
+}
+
+bool agent_tasks::may_start(time_point now) const {
+    const bool current_view = fleet_ && fleet_->revision >= required_revision_ && now < lease_until_;
+    return current_view && recorded_ && !draining_ && !fleet_->is_zone_out(zone_);
+}
+
+void agent_tasks::start_queued(time_point now, agent_actions& actions) {
+    if (!may_start(now))
+        return;
+    for (auto& [service, server] : backends_) {
+        while (!server.queue.empty() && server.running < server.announced.slots &&
+               !server.announced.leaving) {
+            const queued_task next = server.queue.front();
+            server.queue.pop_front();
+            start(next, server, now, actions);
+        }
+    }
+}
+
+void agent_tasks::start(const queued_task& next, backend& server, time_point now, agent_actions& actions) {
+    const auto found = jobs_.find(next.job);
+    if (found == jobs_.end())
+        return;
+    job_tasks& job = found->second;
+    task_record& record = job.tasks.at(next.index);
+    // Revoked tasks stay in the queue until they are met here.
+    if (record.state != phase::queued)
+        return;
+    if (job.deadline <= now) {
+        end_unstarted(job, next.index, record, refusal::expired, now);
+        report(next.job, job, {record.report}, actions);
+        return;
+    }
+    record.state = phase::running;
+    record.started = now;
+    ++server.running;
+    ++running_count_;
+    backend_call call;
+    call.job = next.job;
+    call.index = next.index;
+    call.url = server.announced.url;
+    call.body = std::move(record.body);
+    call.traceparent = job.traceparent;
+    call.give_up = job.deadline + give_up_margin;
+    record.body.clear();
+    actions.calls.push_back(std::move(call));
+}
+
+void agent_tasks::end_unstarted(job_tasks& job, task_index index, task_record& record, refusal reason,
+                                time_point now) {
+    record.state = phase::ended;
+    record.body.clear();
+    record.report = unstarted_report(index, record.attempt, reason);
+    --job.open;
+    job.changed = now;
+}
+
+void agent_tasks::refuse_queued(refusal reason, time_point now, agent_actions& actions) {
+    for (auto& [service, server] : backends_) {
+        std::map<job_id, std::vector<task_report>> reports;
+        for (const queued_task& queued : server.queue) {
+            const auto found = jobs_.find(queued.job);
+            if (found == jobs_.end())
+                continue;
+            task_record& record = found->second.tasks.at(queued.index);
+            if (record.state != phase::queued)
+                continue;
+            end_unstarted(found->second, queued.index, record, reason, now);
+            reports[queued.job].push_back(record.report);
+        }
+        server.queue.clear();
+        for (auto& [id, list] : reports) {
+            const job_tasks& job = jobs_.at(id);
+            report(id, job, std::move(list), actions);
+            if (job.open == 0)
+                ended_order_.emplace_back(now, id);
+        }
+    }
+}
+
+void agent_tasks::report(const job_id& id, const job_tasks& job, std::vector<task_report> reports,
+                         agent_actions& actions) const {
+    if (reports.empty())
+        return;
+    task_reports message;
+    message.agent = self_;
+    message.epoch = job.epoch;
+    message.job = id;
+    message.service = job.service;
+    message.load = load_of(job.service);
+    message.reports = std::move(reports);
+    actions.sends.push_back({job.owner, std::move(message)});
+}
+
+agent_load agent_tasks::load_of(const std::string& service) const {
+    agent_load load;
+    const auto found = backends_.find(service);
+    if (found == backends_.end())
+        return load;
+    load.slots = found->second.announced.slots;
+    load.running = found->second.running;
+    load.queued = static_cast<std::uint32_t>(found->second.queue.size());
+    return load;
+}
+
+agent_actions agent_tasks::tick(time_point now) {
+    agent_actions actions;
+    for (auto& [service, server] : backends_) {
+        const bool silent = server.last_announced + announcement_lifetime < now;
+        if (silent && !server.announced.leaving) {
+            server.announced.leaving = true;
+            status_changed_ = true;
+        }
+        const auto oldest = server.queue.empty() ? jobs_.end() : jobs_.find(server.queue.front().job);
+        const bool waited_long = oldest != jobs_.end() && oldest->second.changed + blocked_queue_limit < now;
+        const bool blocked = waited_long && (server.announced.leaving || !may_start(now));
+        if (blocked)
+            refuse_queued(server.announced.leaving ? refusal::no_backend_server : refusal::no_lease, now,
+                          actions);
+    }
+    start_queued(now, actions);
+    expire_records(now);
+    return actions;
+}
+
+void agent_tasks::expire_records(time_point now) {
+    while (!ended_order_.empty() && ended_order_.front().first + deduplication_window <= now) {
+        const job_id job = ended_order_.front().second;
+        ended_order_.pop_front();
+        const auto found = jobs_.find(job);
+        if (found == jobs_.end() || found->second.open > 0)
+            continue;
+        if (found->second.changed + deduplication_window <= now)
+            jobs_.erase(found);
+    }
+}
+
+agent_status agent_tasks::status() const {
+    agent_status status;
+    status.agent = self_;
+    status.zone = zone_;
+    status.rack = rack_;
+    status.draining = draining_;
+    status.revision = fleet_ ? fleet_->revision : 0;
+    for (const auto& [service, server] : backends_) {
+        if (!server.announced.leaving && server.announced.slots > 0)
+            status.services.push_back({service, server.announced.slots});
+    }
+    return status;
+}
+
+bool agent_tasks::take_status_change() {
+    return std::exchange(status_changed_, false);
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_actions.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "state/failure_reason.h"
+#include "state/ids.h"
+#include "state/incarnation.h"
+#include "state/job_reply.h"
+#include "state/job_spec.h"
+#include "state/task_message.h"
+#include "state/task_report.h"
+#include "state/time.h"
+
+#include <memory>
+#include <vector>
+
+namespace persimmonstile {
+
+// A task message for one agent.
+struct task_send {
+    incarnation to;
+    task_message message;
+};
+
+// The answer for one waiting caller.
+struct caller_answer {
+    caller_token token = 0;
+    job_id job;
+    job_reply reply;
+};
+
+// Tasks for the scheduler. A new job is subject to admission; tasks that come back or belong to a job that
+// has started are queued in any case.
+struct queue_request {
+    job_id job;
+    std::shared_ptr<const job_spec> spec;
+    std::vector<task_index> tasks;
+    time_point deadline;
+    bool needs_admission = false;
+};
+
+// A slot of an agent is free again, with the report that freed it.
+struct returned_task {
+    incarnation agent;
+    job_id job;
+    task_report report;
+};
+
+// A job has ended; for metrics and spans.
+struct ended_job {
+    job_id job;
+    bool complete = false;
+    failure_reason reason = failure_reason::outcome_unknown;
+    time_point accepted;
+    std::size_t tasks = 0;
+};
+
+// What the entry has to do after an event of the job table.
+struct job_actions {
+    std::vector<task_send> sends;
+    std::vector<caller_answer> answers;
+    std::vector<queue_request> queue;
+    std::vector<returned_task> returned;
+    std::vector<ended_job> ended;
+    // Jobs whose waiting tasks the scheduler must drop.
+    std::vector<job_id> withdrawn;
+    // Reports that belonged to no outstanding task: late, duplicated or crossed.
+    std::size_t stray_reports = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_table.cpp
@@ -0,0 +1,608 @@
+#include "coordination/job_table.h"
+
+#include "state/limits.h"
+#include "state/uuid_time.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// Repetitions of one idempotent request whose result was lost.
+constexpr std::uint32_t max_retries_per_request = 2;
+
+// Retry hint while the memory for ended jobs is exhausted; the oldest entries leave within seconds.
+constexpr std::chrono::milliseconds memory_retry_hint{2000};
+
+// An old owner accepted ids up to clock_skew_limit ahead of its own clock, which may itself differ by the
+// same amount.
+constexpr std::chrono::milliseconds new_id_margin = 2 * clock_skew_limit;
+
+constexpr std::size_t record_overhead_bytes = 512;
+
+std::vector<task_index> all_tasks(std::size_t count) {
+    std::vector<task_index> tasks(count);
+    for (std::size_t i = 0; i < count; ++i)
+        tasks[i] = static_cast<task_index>(i);
+    return tasks;
+}
+
+job_failed failure(failure_reason reason, std::string detail) {
+    job_failed failed;
+    failed.reason = reason;
+    failed.detail = std::move(detail);
+    return failed;
+}
+
+std::string task_place(task_index index, const incarnation& agent) {
+    return "task " + std::to_string(index) + " on agent " + agent.name;
+}
+
+std::size_t bytes_of(const job_id& job, const job_record& record) {
+    std::size_t bytes = record_overhead_bytes + job.size();
+    if (record.outcome && std::holds_alternative<job_complete>(*record.outcome)) {
+        for (const std::string& answer : std::get<job_complete>(*record.outcome).answers)
+            bytes += answer.size() + sizeof(std::string);
+    }
+    return bytes;
+}
+
+void answer_callers(const job_id& job, job_record& record, const job_reply& reply, job_actions& actions) {
+    for (const caller_token token : record.callers)
+        actions.answers.push_back({token, job, reply});
+    record.callers.clear();
+}
+
+std::map<incarnation, std::vector<task_index>> dispatched_by_agent(const job_record& record) {
+    std::map<incarnation, std::vector<task_index>> result;
+    for (std::size_t i = 0; i < record.tasks.size(); ++i) {
+        if (record.tasks[i].phase == task_phase::dispatched)
+            result[record.tasks[i].agent].push_back(static_cast<task_index>(i));
+    }
+    return result;
+}
+
+revoke make_revoke(const job_id& job, const job_record& record, epoch_number epoch,
+                   const std::vector<task_index>& tasks) {
+    revoke message;
+    message.partition = record.partition;
+    message.epoch = epoch;
+    message.job = job;
+    for (const task_index index : tasks)
+        message.tasks.push_back({index, record.tasks[index].attempt});
+    return message;
+}
+
+std::vector<task_index> waiting_tasks(const job_record& record) {
+    std::vector<task_index> result;
+    for (std::size_t i = 0; i < record.tasks.size(); ++i) {
+        if (record.tasks[i].phase == task_phase::waiting)
+            result.push_back(static_cast<task_index>(i));
+    }
+    return result;
+}
+
+job_complete collect_answers(job_record& record) {
+    job_complete complete;
+    complete.answers.reserve(record.tasks.size());
+    for (owned_task& task : record.tasks)
+        complete.answers.push_back(std::move(task.answer));
+    return complete;
+}
+
+} // namespace
+
+job_table::job_table(std::size_t max_retained_bytes)
+    : max_retained_bytes_{max_retained_bytes} {}
+
+void job_table::gain(const partition_gain& gained, wall_time now) {
+    owned_partition& partition = partitions_[gained.partition];
+    partition.epoch = gained.epoch;
+    partition.first_epoch = gained.first_epoch;
+    partition.gained = now;
+    partition.suspects = {gained.suspects.begin(), gained.suspects.end()};
+}
+
+job_actions job_table::lose(partition_id partition) {
+    job_actions actions;
+    partitions_.erase(partition);
+    for (auto it = jobs_.begin(); it != jobs_.end();) {
+        job_record& record = it->second;
+        if (record.partition != partition) {
+            ++it;
+            continue;
+        }
+        answer_callers(it->first, record, job_wrong_owner{}, actions);
+        for (const auto& [agent, tasks] : dispatched_by_agent(record)) {
+            for (const task_index index : tasks) {
+                task_report report;
+                report.index = index;
+                actions.returned.push_back({agent, it->first, report});
+                release(record, it->first, agent);
+            }
+        }
+        actions.withdrawn.push_back(it->first);
+        if (record.phase == job_phase::ended)
+            retained_bytes_ -= record.retained_bytes;
+        else
+            --active_jobs_;
+        it = jobs_.erase(it);
+    }
+    return actions;
+}
+
+job_actions job_table::submit(const submission& request, time_point now, wall_time wall_now) {
+    job_actions actions;
+    const partition_id partition = partition_of(request.job);
+    if (!partitions_.contains(partition)) {
+        actions.answers.push_back({request.token, request.job, job_wrong_owner{}});
+        return actions;
+    }
+    const auto known = jobs_.find(request.job);
+    if (known != jobs_.end()) {
+        job_record& record = known->second;
+        if (record.spec->digest != request.spec->digest)
+            actions.answers.push_back({request.token, request.job, job_conflict{}});
+        else if (record.phase == job_phase::ended)
+            actions.answers.push_back({request.token, request.job, *record.outcome});
+        else
+            record.callers.push_back(request.token);
+        return actions;
+    }
+    if (retained_bytes_ >= max_retained_bytes_) {
+        job_failed refusal = failure(failure_reason::not_run, "memory for ended jobs is exhausted");
+        refusal.at_capacity = true;
+        refusal.retry_after_ms = memory_retry_hint.count();
+        actions.answers.push_back({request.token, request.job, job_outcome{refusal}});
+        return actions;
+    }
+    const std::optional<wall_time> created = uuid_time(request.job);
+    if (created && *created + deduplication_window < wall_now) {
+        job_failed failed =
+            failure(failure_reason::outcome_unknown,
+                    "the id is older than the deduplication window, an earlier run is possible");
+        actions.answers.push_back({request.token, request.job, job_outcome{failed}});
+        return actions;
+    }
+    job_record& record = jobs_[request.job];
+    record.partition = partition;
+    ++active_jobs_;
+    start_job(request, record, now, wall_now, actions);
+    return actions;
+}
+
+void job_table::start_job(const submission& request, job_record& record, time_point now, wall_time,
+                          job_actions& actions) {
+    record.spec = request.spec;
+    record.traceparent = request.traceparent;
+    record.idempotent = request.idempotent;
+    record.accepted = now;
+    const auto allowed = request.spec->deadline_ms > 0 ? request.spec->deadline() : request.default_deadline;
+    record.deadline = now + allowed;
+    record.tasks.resize(request.spec->tasks.size());
+    record.callers.push_back(request.token);
+    deadlines_.emplace(record.deadline, request.job);
+    const owned_partition& partition = partitions_.at(record.partition);
+    if (!needs_query(request.job, partition)) {
+        actions.queue.push_back(
+            {request.job, record.spec, all_tasks(record.tasks.size()), record.deadline, true});
+        return;
+    }
+    record.phase = job_phase::querying;
+    record.unanswered = partition.suspects;
+    for (const incarnation& agent : partition.suspects)
+        actions.sends.push_back({agent, query_job{record.partition, partition.epoch, request.job}});
+    for (const incarnation& agent : partition.suspects) {
+        if (!gone_agents_.contains(agent))
+            continue;
+        end_job(request.job, record,
+                failure(failure_reason::outcome_unknown,
+                        "agent " + agent.name + " that may have run tasks of this job is gone"),
+                now, actions);
+        return;
+    }
+}
+
+bool job_table::needs_query(const job_id& job, const owned_partition& partition) const {
+    if (partition.first_epoch || partition.suspects.empty())
+        return false;
+    const std::optional<wall_time> created = uuid_time(job);
+    return !created || *created <= partition.gained + new_id_margin;
+}
+
+job_actions job_table::lookup(const job_id& job, caller_token token) {
+    job_actions actions;
+    if (!partitions_.contains(partition_of(job))) {
+        actions.answers.push_back({token, job, job_wrong_owner{}});
+        return actions;
+    }
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end())
+        actions.answers.push_back({token, job, job_not_found{}});
+    else if (found->second.phase == job_phase::ended)
+        actions.answers.push_back({token, job, *found->second.outcome});
+    else
+        actions.answers.push_back({token, job, job_pending{}});
+    return actions;
+}
+
+job_actions job_table::cancel(const job_id& job, caller_token token, time_point now) {
+    const auto found = jobs_.find(job);
+    const bool active = found != jobs_.end() && found->second.phase != job_phase::ended;
+    if (!active || !partitions_.contains(found->second.partition))
+        return lookup(job, token);
+    job_actions actions;
+    found->second.callers.push_back(token);
+    end_job(job, found->second, failure(failure_reason::cancelled, "cancelled by the caller"), now, actions);
+    return actions;
+}
+
+void job_table::forget_caller(const job_id& job, caller_token token) {
+    const auto found = jobs_.find(job);
+    if (found != jobs_.end())
+        std::erase(found->second.callers, token);
+}
+
+job_actions job_table::admitted(const job_id& job) {
+    const auto found = jobs_.find(job);
+    if (found != jobs_.end() && found->second.phase == job_phase::admitting)
+        found->second.phase = job_phase::running;
+    job_actions actions;
+    // The job may have been cancelled or lost while the scheduler decided; its tasks must not stay queued.
+    if (found == jobs_.end() || found->second.phase == job_phase::ended)
+        actions.withdrawn.push_back(job);
+    return actions;
+}
+
+job_actions job_table::refused(const job_id& job, const job_failed& refusal) {
+    job_actions actions;
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end() || found->second.phase != job_phase::admitting)
+        return actions;
+    answer_callers(job, found->second, job_outcome{refusal}, actions);
+    --active_jobs_;
+    jobs_.erase(found);
+    return actions;
+}
+
+job_actions job_table::assign(const assignment& chosen, config_revision revision, time_point now) {
+    job_actions actions;
+    const auto found = jobs_.find(chosen.job);
+    // The scheduler may assign tasks of a new job before its admission has been reported here.
+    if (found != jobs_.end() && found->second.phase == job_phase::admitting)
+        found->second.phase = job_phase::running;
+    const bool assignable = found != jobs_.end() && found->second.phase == job_phase::running &&
+                            !gone_agents_.contains(chosen.agent);
+    std::vector<task_index> sent;
+    for (const task_index index : chosen.tasks) {
+        if (assignable && index < found->second.tasks.size() &&
+            found->second.tasks[index].phase == task_phase::waiting) {
+            sent.push_back(index);
+            continue;
+        }
+        task_report report;
+        report.index = index;
+        report.status = task_status::not_started;
+        report.reason = refusal::revoked;
+        actions.returned.push_back({chosen.agent, chosen.job, report});
+    }
+    if (found != jobs_.end() && found->second.phase == job_phase::running && !assignable)
+        actions.queue.push_back(
+            {chosen.job, found->second.spec, chosen.tasks, found->second.deadline, false});
+    if (sent.empty())
+        return actions;
+    job_record& record = found->second;
+    for (const task_index index : sent) {
+        owned_task& task = record.tasks[index];
+        task.phase = task_phase::dispatched;
+        task.agent = chosen.agent;
+        ++task.attempt;
+    }
+    record.outstanding[chosen.agent] += static_cast<std::uint32_t>(sent.size());
+    jobs_by_agent_[chosen.agent].insert(chosen.job);
+    send_dispatch(chosen.job, record, chosen.agent, sent, revision, now, actions);
+    return actions;
+}
+
+void job_table::send_dispatch(const job_id& job, const job_record& record, const incarnation& agent,
+                              const std::vector<task_index>& tasks, config_revision revision, time_point now,
+                              job_actions& actions) const {
+    dispatch message;
+    message.target = agent;
+    message.partition = record.partition;
+    message.epoch = partitions_.at(record.partition).epoch;
+    message.revision = revision;
+    message.job = job;
+    message.service = record.spec->service;
+    message.traceparent = record.traceparent;
+    message.remaining_ms = std::chrono::duration_cast<milliseconds>(record.deadline - now).count();
+    message.tasks.reserve(tasks.size());
+    for (const task_index index : tasks)
+        message.tasks.push_back({index, record.tasks[index].attempt, record.spec->tasks[index]});
+    actions.sends.push_back({agent, std::move(message)});
+}
+
+job_actions job_table::reported(const task_reports& reports, time_point now) {
+    job_actions actions;
+    const auto found = jobs_.find(reports.job);
+    const auto partition = partitions_.find(partition_of(reports.job));
+    const bool current =
+        found != jobs_.end() && partition != partitions_.end() && partition->second.epoch == reports.epoch;
+    if (!current) {
+        actions.stray_reports += reports.reports.size();
+        return actions;
+    }
+    for (const task_report& report : reports.reports)
+        apply_report(reports.job, found->second, reports, report, now, actions);
+    return actions;
+}
+
+void job_table::apply_report(const job_id& job, job_record& record, const task_reports& reports,
+                             const task_report& report, time_point now, job_actions& actions) {
+    const bool known = report.index < record.tasks.size();
+    owned_task* task = known ? &record.tasks[report.index] : nullptr;
+    const bool expected = known && task->phase == task_phase::dispatched && task->agent == reports.agent &&
+                          task->attempt == report.attempt;
+    if (!expected) {
+        ++actions.stray_reports;
+        return;
+    }
+    // A running task needs no action, and an agent that knows a newer epoch cannot say what happens to the
+    // task there.
+    if (report.status == task_status::running || report.reason == refusal::stale_epoch)
+        return;
+    release(record, job, reports.agent);
+    actions.returned.push_back({reports.agent, job, report});
+    task->phase = task_phase::done;
+    if (record.phase == job_phase::ended)
+        return;
+    switch (report.status) {
+    case task_status::succeeded:
+        task->answer = report.text;
+        ++record.done_count;
+        if (record.done_count == record.tasks.size())
+            end_job(job, record, collect_answers(record), now, actions);
+        break;
+    case task_status::failed:
+        end_job(job, record,
+                failure(failure_reason::task_failed,
+                        task_place(report.index, reports.agent) + ": " + report.text),
+                now, actions);
+        break;
+    case task_status::not_started:
+        task->phase = task_phase::waiting;
+        actions.queue.push_back({job, record.spec, {report.index}, record.deadline, false});
+        break;
+    case task_status::unknown:
+    case task_status::running:
+        task_unknown(job, record, *task, report.index, now, actions);
+        break;
+    }
+}
+
+void job_table::task_unknown(const job_id& job, job_record& record, owned_task& task, task_index index,
+                             time_point now, job_actions& actions) {
+    if (record.idempotent && record.retries < max_retries_per_request) {
+        ++record.retries;
+        task.phase = task_phase::waiting;
+        actions.queue.push_back({job, record.spec, {index}, record.deadline, false});
+        return;
+    }
+    task.phase = task_phase::done;
+    end_job(job, record,
+            failure(failure_reason::outcome_unknown,
+                    "the result of " + task_place(index, task.agent) + " was lost"),
+            now, actions);
+}
+
+job_actions job_table::query_answered(const job_report& report, time_point now) {
+    job_actions actions;
+    const auto found = jobs_.find(report.job);
+    const auto partition = partitions_.find(report.partition);
+    const bool expected = found != jobs_.end() && found->second.phase == job_phase::querying &&
+                          partition != partitions_.end() && partition->second.epoch == report.epoch &&
+                          found->second.unanswered.contains(report.agent);
+    if (!expected) {
+        ++actions.stray_reports;
+        return actions;
+    }
+    job_record& record = found->second;
+    record.unanswered.erase(report.agent);
+    for (const task_report& task : report.reports) {
+        if (record.phase == job_phase::querying)
+            apply_queried_task(report.job, record, report.agent, task, now, actions);
+    }
+    if (record.phase == job_phase::querying && record.unanswered.empty())
+        finish_query(report.job, record, now, actions);
+    return actions;
+}
+
+void job_table::apply_queried_task(const job_id& job, job_record& record, const incarnation& agent,
+                                   const task_report& report, time_point now, job_actions& actions) {
+    if (report.index >= record.tasks.size())
+        return;
+    owned_task& task = record.tasks[report.index];
+    record.found_by_query = true;
+    switch (report.status) {
+    case task_status::succeeded:
+        task.phase = task_phase::done;
+        task.answer = report.text;
+        ++record.done_count;
+        break;
+    case task_status::running:
+        task.phase = task_phase::dispatched;
+        task.agent = agent;
+        task.attempt = report.attempt;
+        ++record.outstanding[agent];
+        jobs_by_agent_[agent].insert(job);
+        break;
+    case task_status::failed:
+        end_job(job, record,
+                failure(failure_reason::task_failed, task_place(report.index, agent) + ": " + report.text),
+                now, actions);
+        break;
+    case task_status::unknown:
+        task.agent = agent;
+        end_job(job, record,
+                failure(failure_reason::outcome_unknown,
+                        "the result of " + task_place(report.index, agent) + " was lost"),
+                now, actions);
+        break;
+    case task_status::not_started:
+        break;
+    }
+}
+
+void job_table::finish_query(const job_id& job, job_record& record, time_point now, job_actions& actions) {
+    if (record.done_count == record.tasks.size()) {
+        end_job(job, record, collect_answers(record), now, actions);
+        return;
+    }
+    const std::vector<task_index> waiting = waiting_tasks(record);
+    // A job that no agent has seen is like a new one and may still be refused as not_run.
+    const bool untouched = !record.found_by_query;
+    record.phase = untouched ? job_phase::admitting : job_phase::running;
+    if (!waiting.empty())
+        actions.queue.push_back({job, record.spec, waiting, record.deadline, untouched});
+}
+
+job_actions job_table::agent_connected(const incarnation& agent, config_revision revision, time_point now) {
+    job_actions actions;
+    const auto outstanding = jobs_by_agent_.find(agent);
+    if (outstanding != jobs_by_agent_.end()) {
+        for (const job_id& job : outstanding->second) {
+            const job_record& record = jobs_.at(job);
+            std::vector<task_index> tasks;
+            for (std::size_t i = 0; i < record.tasks.size(); ++i) {
+                if (record.tasks[i].phase == task_phase::dispatched && record.tasks[i].agent == agent)
+                    tasks.push_back(static_cast<task_index>(i));
+            }
+            if (record.phase == job_phase::ended)
+                actions.sends.push_back(
+                    {agent, make_revoke(job, record, partitions_.at(record.partition).epoch, tasks)});
+            else
+                send_dispatch(job, record, agent, tasks, revision, now, actions);
+        }
+    }
+    for (const auto& [job, record] : jobs_) {
+        if (record.phase == job_phase::querying && record.unanswered.contains(agent))
+            actions.sends.push_back(
+                {agent, query_job{record.partition, partitions_.at(record.partition).epoch, job}});
+    }
+    return actions;
+}
+
+job_actions job_table::agent_gone(const incarnation& agent, time_point now) {
+    job_actions actions;
+    gone_agents_.insert(agent);
+    const auto outstanding = jobs_by_agent_.find(agent);
+    const std::set<job_id> jobs =
+        outstanding == jobs_by_agent_.end() ? std::set<job_id>{} : outstanding->second;
+    for (const job_id& job : jobs) {
+        job_record& record = jobs_.at(job);
+        for (std::size_t i = 0; i < record.tasks.size(); ++i) {
+            owned_task& task = record.tasks[i];
+            if (task.phase != task_phase::dispatched || task.agent != agent)
+                continue;
+            const auto index = static_cast<task_index>(i);
+            release(record, job, agent);
+            task.phase = task_phase::done;
+            if (record.phase != job_phase::ended)
+                task_unknown(job, record, task, index, now, actions);
+        }
+    }
+    for (auto& [job, record] : jobs_) {
+        if (record.phase == job_phase::querying && record.unanswered.contains(agent))
+            end_job(job, record,
+                    failure(failure_reason::outcome_unknown,
+                            "agent " + agent.name + " that may have run tasks of this job is gone"),
+                    now, actions);
+    }
+    return actions;
+}
+
+void job_table::end_job(const job_id& job, job_record& record, job_outcome outcome, time_point now,
+                        job_actions& actions) {
+    for (const auto& [agent, tasks] : dispatched_by_agent(record))
+        actions.sends.push_back(
+            {agent, make_revoke(job, record, partitions_.at(record.partition).epoch, tasks)});
+    ended_job ended;
+    ended.job = job;
+    ended.complete = std::holds_alternative<job_complete>(outcome);
+    if (!ended.complete)
+        ended.reason = std::get<job_failed>(outcome).reason;
+    ended.accepted = record.accepted;
+    ended.tasks = record.tasks.size();
+    actions.ended.push_back(ended);
+    actions.withdrawn.push_back(job);
+    record.phase = job_phase::ended;
+    record.ended = now;
+    record.unanswered.clear();
+    record.outcome = std::move(outcome);
+    record.retained_bytes = bytes_of(job, record);
+    retained_bytes_ += record.retained_bytes;
+    --active_jobs_;
+    ended_order_.emplace_back(now, job);
+    // Only the digest is needed from now on, to recognise a resubmission.
+    auto digest_only = std::make_shared<job_spec>();
+    digest_only->service = record.spec->service;
+    digest_only->digest = record.spec->digest;
+    record.spec = std::move(digest_only);
+    answer_callers(job, record, *record.outcome, actions);
+}
+
+void job_table::release(job_record& record, const job_id& job, const incarnation& agent) {
+    const auto found = record.outstanding.find(agent);
+    if (found == record.outstanding.end() || --found->second > 0)
+        return;
+    record.outstanding.erase(found);
+    const auto jobs = jobs_by_agent_.find(agent);
+    if (jobs == jobs_by_agent_.end())
+        return;
+    jobs->second.erase(job);
+    if (jobs->second.empty())
+        jobs_by_agent_.erase(jobs);
+}
+
+job_actions job_table::tick(time_point now) {
+    job_actions actions;
+    expire_deadlines(now, actions);
+    expire_ended(now);
+    return actions;
+}
+
+void job_table::expire_deadlines(time_point now, job_actions& actions) {
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const job_id job = deadlines_.begin()->second;
+        deadlines_.erase(deadlines_.begin());
+        const auto found = jobs_.find(job);
+        if (found == jobs_.end() || found->second.phase == job_phase::ended || found->second.deadline > now)
+            continue;
+        end_job(job, found->second,
+                failure(failure_reason::deadline_exceeded, "the job did not end within its deadline"), now,
+                actions);
+    }
+}
+
+void job_table::expire_ended(time_point now) {
+    while (!ended_order_.empty() && ended_order_.front().first + deduplication_window <= now) {
+        const auto [ended, job] = ended_order_.front();
+        ended_order_.pop_front();
+        const auto found = jobs_.find(job);
+        const bool same =
+            found != jobs_.end() && found->second.phase == job_phase::ended && found->second.ended == ended;
+        if (!same)
+            continue;
+        job_record& record = found->second;
+        for (const auto& [agent, count] : std::map{record.outstanding}) {
+            for (std::uint32_t i = 0; i < count; ++i)
+                release(record, job, agent);
+        }
+        retained_bytes_ -= record.retained_bytes;
+        jobs_.erase(found);
+    }
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/caller_desk.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "coordination/job_actions.h"
+#include "daemon/job_engine.h"
+#include "state/clock_source.h"
+#include "state/forward_job.h"
+#include "state/forward_lookup.h"
+#include "state/job_reply.h"
+#include "state/job_spec.h"
+#include "state/owner_table.h"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace persimmonstile {
+
+// What a caller asks of a job.
+enum class caller_request_kind : std::uint8_t { submit, lookup, cancel };
+
+// A caller's request on its way to the owner of the job and back.
+struct caller_request {
+    caller_request_kind kind = caller_request_kind::submit;
+    job_id job;
+    // Set for submissions only.
+    std::shared_ptr<const job_spec> spec;
+    std::string traceparent;
+    // The caller is told job_pending after this time; it may be unbounded.
+    std::optional<std::chrono::milliseconds> wait;
+};
+
+// Keeps every waiting caller of this entry, sends its request to the job's owner and the owner's answer back.
+// A request whose owner changes or cannot be reached is sent again; the job id makes that safe.
+class caller_desk {
+public:
+    using reply_handler = std::function<void(const job_reply&)>;
+    // Sends a message to another entry; false if it is not connected.
+    using forward_function = std::function<bool(const incarnation& owner, const task_message& message)>;
+
+    caller_desk(const clock_source& clock, incarnation self, forward_function forward);
+
+    // Must be called before any request arrives; the engine's answers come back through deliver.
+    void attach(job_engine& engine) { engine_ = &engine; }
+
+    // A request of a caller of this entry. on_reply is called exactly once.
+    void ask(caller_request request, reply_handler on_reply);
+    // A request that another entry forwarded to this one.
+    void forwarded(const incarnation& origin, const forward_job& message);
+    void forwarded(const incarnation& origin, const forward_lookup& message);
+
+    // The engine's answer to one token.
+    void deliver(const caller_answer& answer);
+    // The owner's answer to a request that this entry forwarded.
+    void deliver_forwarded(const job_result& result);
+
+    void set_table(const owner_table& table);
+    void entry_disconnected(const incarnation& entry);
+
+    // Sends unsent requests again and ends expired waits. To be called at least every 50 ms.
+    void tick();
+
+    std::size_t waiting_callers() const;
+
+private:
+    // Where a request is now.
+    enum class place : std::uint8_t { unsent, own_engine, other_entry };
+
+    // A caller behind another entry, which knows it by its own token.
+    struct remote_caller {
+        incarnation origin;
+        caller_token token = 0;
+    };
+
+    struct pending {
+        caller_request request;
+        std::variant<reply_handler, remote_caller> caller;
+        place where = place::unsent;
+        incarnation sent_to;
+        bool was_sent = false;
+        time_point asked;
+        time_point unsent_since;
+    };
+
+    caller_token add(caller_request request, std::variant<reply_handler, remote_caller> caller);
+    void route(caller_token token);
+    void submit_here(caller_token token, const caller_request& request);
+    bool send_to(const incarnation& owner, caller_token token, const caller_request& request);
+    void finish(caller_token token, const job_reply& reply);
+    void mark_unsent(caller_token token);
+    std::optional<job_reply> expired_reply(const pending& waiting, time_point now) const;
+
+    const clock_source& clock_;
+    incarnation self_;
+    forward_function forward_;
+    job_engine* engine_ = nullptr;
+    mutable std::mutex mutex_;
+    caller_token next_token_ = 1;
+    std::unordered_map<caller_token, pending> pending_;
+    std::vector<partition_owner> owners_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/job_engine.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "coordination/job_table.h"
+#include "coordination/scheduler.h"
+#include "daemon/agent_hub.h"
+#include "state/clock_source.h"
+#include "state/fleet_view.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace persimmonstile {
+
+// The jobs that this entry owns: shards of the job table, each under its own lock, and the scheduler under
+// another. Performs their actions. No two of the locks are ever held together.
+class job_engine {
+public:
+    using answer_handler = std::function<void(const caller_answer&)>;
+    using ended_handler = std::function<void(const ended_job&)>;
+
+    // max_retained_bytes bounds the memory for ended jobs of all shards.
+    job_engine(const clock_source& clock, agent_hub& agents, std::size_t max_retained_bytes,
+               answer_handler on_answer, ended_handler on_ended);
+
+    void gain(const partition_gain& gained);
+    void lose(partition_id partition);
+
+    void submit(submission request);
+    void lookup(const job_id& job, caller_token token);
+    void cancel(const job_id& job, caller_token token);
+    void forget_caller(const job_id& job, caller_token token);
+
+    void reported(const task_reports& reports);
+    void query_answered(const job_report& report);
+    void agent_connected(const agent_status& status, bool is_new_connection);
+    void agent_disconnected(const incarnation& agent);
+    void agent_gone(const incarnation& agent);
+
+    void set_fleet(std::shared_ptr<const fleet_view> fleet);
+    void set_entry_count(std::uint32_t entries);
+    // This entry may act until the given time. Without a lease nothing is dispatched or accepted.
+    void set_lease(time_point until);
+    bool has_lease() const;
+
+    void tick();
+
+    std::size_t active_jobs() const;
+    std::size_t waiting_tasks() const;
+    std::size_t stray_reports() const { return stray_reports_; }
+    std::size_t dispatch_messages() const { return dispatch_messages_; }
+
+private:
+    static constexpr std::size_t shard_count = 8;
+
+    struct shard {
+        explicit shard(std::size_t max_retained_bytes)
+            : jobs{max_retained_bytes} {}
+
+        mutable std::mutex mutex;
+        job_table jobs;
+    };
+
+    shard& shard_of(const job_id& job) { return *shards_[partition_of(job) % shard_count]; }
+    template <typename Event> void apply(shard& target, Event event);
+    void perform(const job_actions& actions);
+    void queue(const queue_request& request);
+    void dispatch_waiting();
+    config_revision revision() const;
+
+    const clock_source& clock_;
+    agent_hub& agents_;
+    answer_handler on_answer_;
+    ended_handler on_ended_;
+    std::array<std::unique_ptr<shard>, shard_count> shards_;
+    mutable std::mutex scheduler_mutex_;
+    scheduler scheduler_;
+    mutable std::mutex fleet_mutex_;
+    std::shared_ptr<const fleet_view> fleet_;
+    std::atomic<time_point::rep> lease_until_{0};
+    std::atomic<std::size_t> stray_reports_{0};
+    std::atomic<std::size_t> dispatch_messages_{0};
+};
+
+} // namespace persimmonstile
--- a/state/refusal.h
+++ b/state/refusal.h
@@ -18,6 +18,7 @@
     not_recorded,
     no_lease,
     revoked,
+    expired,
     declined_by_backend_server
 };
 
@@ -45,6 +46,8 @@
         return "no_lease";
     case refusal::revoked:
         return "revoked";
+    case refusal::expired:
+        return "expired";
     case refusal::declined_by_backend_server:
         return "declined_by_backend_server";
     }
--- a/state/task_report.h
+++ b/state/task_report.h
@@ -5,6 +5,7 @@
 #include "state/task_status.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <tuple>
 
@@ -13,6 +14,8 @@
 // What happened to one task on one agent.
 struct task_report {
     task_index index = 0;
+    // The attempt that the report belongs to. The owner ignores reports of earlier attempts.
+    std::uint32_t attempt = 0;
     task_status status = task_status::unknown;
     refusal reason = refusal::none;
     // The answer's JSON text if succeeded, otherwise a description of the error.
@@ -25,8 +28,9 @@
     std::chrono::microseconds run_time() const { return std::chrono::microseconds{run_us}; }
 
     static constexpr auto members() {
-        return std::make_tuple(&task_report::index, &task_report::status, &task_report::reason,
-                               &task_report::text, &task_report::queue_us, &task_report::run_us);
+        return std::make_tuple(&task_report::index, &task_report::attempt, &task_report::status,
+                               &task_report::reason, &task_report::text, &task_report::queue_us,
+                               &task_report::run_us);
     }
 };
 
--- /dev/null
+++ b/transport/frame_connection.cpp
@@ -0,0 +1,190 @@
+#include "transport/frame_connection.h"
+
+#include "state/limits.h"
+
+#include <cstdint>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// Largest accepted payload: a job's body plus room for its other fields.
+constexpr std::size_t max_payload = 4 * max_request_body_bytes;
+
+// A peer that does not read is cut off here, so that its frames cannot fill the memory.
+constexpr std::size_t max_pending = 16 * max_request_body_bytes;
+
+void append_header(std::string& out, std::size_t size, frame_kind kind) {
+    const auto length = static_cast<std::uint32_t>(size);
+    for (unsigned shift = 0; shift < 32; shift += 8)
+        out.push_back(static_cast<char>((length >> shift) & 0xffU));
+    out.push_back(static_cast<char>(kind));
+}
+
+std::size_t read_length(const char* bytes) {
+    std::size_t length = 0;
+    for (unsigned i = 0; i < 4; ++i)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    return length;
+}
+
+} // namespace
+
+frame_connection::frame_connection(asio::ip::tcp::socket socket, const clock_source& clock)
+    : socket_{std::move(socket)}
+    , strand_{asio::make_strand(socket_.get_executor())}
+    , timer_{strand_}
+    , clock_{clock}
+    , last_received_{clock.now()} {
+    asio::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
+}
+
+void frame_connection::start(frame_handler on_frame, close_handler on_close) {
+    on_frame_ = std::move(on_frame);
+    on_close_ = std::move(on_close);
+    asio::post(strand_, [self = shared_from_this()] {
+        self->last_received_ = self->clock_.now();
+        self->schedule_heartbeat();
+        self->read_some();
+    });
+}
+
+void frame_connection::send(frame_kind kind, std::string_view payload) {
+    bool overflow = false;
+    {
+        const std::lock_guard lock{mutex_};
+        if (closing_)
+            return;
+        append_header(pending_, payload.size(), kind);
+        pending_.append(payload);
+        overflow = pending_.size() > max_pending;
+        if (write_active_ && !overflow)
+            return;
+        write_active_ = true;
+    }
+    if (overflow) {
+        close("the peer does not read its frames");
+        return;
+    }
+    asio::post(strand_, [self = shared_from_this()] { self->write_pending(); });
+}
+
+void frame_connection::close_gracefully() {
+    {
+        const std::lock_guard lock{mutex_};
+        closing_ = true;
+        if (write_active_)
+            return;
+    }
+    close("closed by this process");
+}
+
+void frame_connection::close(const std::string& reason) {
+    asio::post(strand_, [self = shared_from_this(), reason] { self->do_close(reason); });
+}
+
+void frame_connection::read_some() {
+    const std::size_t used = incoming_.size();
+    incoming_.resize(used + read_chunk);
+    socket_.async_read_some(asio::buffer(incoming_.data() + used, read_chunk),
+                            asio::bind_executor(strand_, [self = shared_from_this(),
+                                                          used](asio::error_code error, std::size_t count) {
+                                self->incoming_.resize(used + count);
+                                if (error || self->closed_) {
+                                    self->do_close(error ? error.message() : "closed");
+                                    return;
+                                }
+                                self->last_received_ = self->clock_.now();
+                                self->bytes_received_ += count;
+                                if (self->take_frames())
+                                    self->read_some();
+                            }));
+}
+
+bool frame_connection::take_frames() {
+    std::size_t position = 0;
+    while (incoming_.size() - position >= header_size) {
+        const std::size_t length = read_length(incoming_.data() + position);
+        if (length > max_payload) {
+            do_close("a frame exceeds the size limit");
+            return false;
+        }
+        if (incoming_.size() - position < header_size + length)
+            break;
+        const auto kind = static_cast<frame_kind>(incoming_[position + 4]);
+        const std::string_view payload{incoming_.data() + position + header_size, length};
+        if (kind != frame_kind::heartbeat)
+            on_frame_(kind, payload);
+        if (closed_)
+            return false;
+        position += header_size + length;
+    }
+    incoming_.erase(0, position);
+    return true;
+}
+
+void frame_connection::write_pending() {
+    if (closed_)
+        return;
+    {
+        const std::lock_guard lock{mutex_};
+        if (pending_.empty()) {
+            write_active_ = false;
+            if (closing_)
+                do_close("closed by this process");
+            return;
+        }
+        writing_.swap(pending_);
+        pending_.clear();
+    }
+    sent_since_heartbeat_ = true;
+    bytes_sent_ += writing_.size();
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error, std::size_t) {
+            self->writing_.clear();
+            if (error)
+                self->do_close(error.message());
+            else
+                self->write_pending();
+        }));
+}
+
+void frame_connection::schedule_heartbeat() {
+    timer_.expires_after(heartbeat_interval);
+    timer_.async_wait(asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error) {
+        if (error || self->closed_)
+            return;
+        self->check_silence();
+    }));
+}
+
+void frame_connection::check_silence() {
+    if (clock_.now() - last_received_ > connection_silence_limit) {
+        do_close("no bytes from the peer within the silence limit");
+        return;
+    }
+    if (!sent_since_heartbeat_.exchange(false))
+        send(frame_kind::heartbeat, {});
+    schedule_heartbeat();
+}
+
+void frame_connection::do_close(const std::string& reason) {
+    if (closed_)
+        return;
+    closed_ = true;
+    asio::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    if (on_close_)
+        on_close_(reason);
+    // The handlers usually hold the owner of this connection.
+    asio::post(strand_, [self = shared_from_this()] {
+        self->on_frame_ = nullptr;
+        self->on_close_ = nullptr;
+    });
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/transport/frame_connector.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "transport/peer_address.h"
+
+#include <functional>
+#include <memory>
+
+#include <asio.hpp>
+
+namespace persimmonstile {
+
+// Keeps one connection to an address: connects, and connects again after connection_lost(), with a growing
+// pause that is reset by a connection that was made.
+class frame_connector : public std::enable_shared_from_this<frame_connector> {
+public:
+    using connect_handler = std::function<void(asio::ip::tcp::socket)>;
+
+    frame_connector(asio::io_context& context, peer_address address, connect_handler on_connect);
+
+    void start();
+    void connection_lost();
+    void stop();
+    const peer_address& address() const { return address_; }
+
+private:
+    void connect();
+    void retry();
+
+    asio::strand<asio::any_io_executor> strand_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    peer_address address_;
+    connect_handler on_connect_;
+    std::chrono::milliseconds pause_;
+    bool stopped_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/transport/frame_listener.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "transport/peer_address.h"
+
+#include <functional>
+#include <memory>
+
+#include <asio.hpp>
+
+namespace persimmonstile {
+
+// Accepts TCP connections from other processes of the system.
+class frame_listener {
+public:
+    using accept_handler = std::function<void(asio::ip::tcp::socket)>;
+
+    // Throws std::system_error if the address cannot be bound.
+    frame_listener(asio::io_context& context, const peer_address& address, accept_handler on_accept);
+
+    void start();
+    void stop();
+    // The bound address, with the port that the system chose if 0 was asked for.
+    peer_address local_address() const;
+
+private:
+    void accept_next();
+
+    asio::ip::tcp::acceptor acceptor_;
+    accept_handler on_accept_;
+};
+
+} // namespace persimmonstile
