--- /dev/null
+++ b/protocol/nearest_name.cpp
@@ -0,0 +1,43 @@
+#include "protocol/nearest_name.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace persimmonstile {
+namespace {
+
+// Levenshtein distance with one row of the table in memory.
+std::size_t edit_distance(std::string_view left, std::string_view right) {
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i + 1;
+        for (std::size_t j = 0; j < right.size(); ++j) {
+            const std::size_t substituted = diagonal + (left[i] == right[j] ? 0 : 1);
+            diagonal = row[j + 1];
+            row[j + 1] = std::min({substituted, row[j] + 1, diagonal + 1});
+        }
+    }
+    return row.back();
+}
+
+} // namespace
+
+std::optional<std::string> nearest_name(std::string_view word, const std::vector<std::string>& candidates) {
+    std::optional<std::string> nearest;
+    std::size_t nearest_distance = 0;
+    for (const std::string& candidate : candidates) {
+        const std::size_t distance = edit_distance(word, candidate);
+        if (distance * 2 > std::max(word.size(), candidate.size())) {
+            continue;
+        }
+        if (!nearest || distance < nearest_distance) {
+            nearest = candidate;
+            nearest_distance = distance;
+        }
+    }
+    return nearest;
+}
+
+} // namespace persimmonstile
