--- /dev/null
+++ b/daemon/entry_api.cpp
@@ -0,0 +1,218 @@
+#include "daemon/entry_api.h"
+
+#include "protocol/job_request.h"
+#include "protocol/job_response.h"
+#include "state/limits.h"
+#include "state/uuid_time.h"
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr std::string_view jobs_prefix = "/v1/jobs/";
+constexpr std::string_view requests_prefix = "/v1/requests/";
+constexpr std::string_view wait_parameter = "wait_ms=";
+constexpr std::int64_t max_wait_ms = std::int64_t{3600} * 1000;
+
+http_response to_http(job_response response) {
+    http_response result;
+    result.status = response.status;
+    result.content_type = std::move(response.content_type);
+    result.body = std::move(response.body);
+    if (response.retry_after.count() > 0) {
+        // The header has whole seconds; rounding down to 0 would ask for an immediate repetition.
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retry_after);
+        result.headers.push_back({"Retry-After", std::to_string(seconds.count())});
+    }
+    return result;
+}
+
+http_response plain(std::uint16_t status, std::string text) {
+    http_response response;
+    response.status = status;
+    response.content_type = "text/plain; charset=utf-8";
+    response.body = std::move(text);
+    return response;
+}
+
+struct wait_query {
+    bool valid = true;
+    std::optional<std::chrono::milliseconds> wait;
+};
+
+wait_query parse_wait(std::string_view query) {
+    if (query.empty())
+        return {};
+    if (!query.starts_with(wait_parameter))
+        return {false, std::nullopt};
+    const std::string_view digits = query.substr(wait_parameter.size());
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    const bool valid =
+        error == std::errc{} && end == digits.data() + digits.size() && value >= 0 && value <= max_wait_ms;
+    if (!valid)
+        return {false, std::nullopt};
+    return {true, std::chrono::milliseconds{value}};
+}
+
+nlohmann::json to_json(const entry_status& status) {
+    nlohmann::json json;
+    json["name"] = status.name;
+    json["revision"] = status.revision;
+    json["table_version"] = status.version;
+    json["partitions"] = status.partitions;
+    json["in_force"] = status.in_force;
+    json["draining"] = status.draining;
+    json["active_jobs"] = status.active_jobs;
+    json["waiting_tasks"] = status.waiting_tasks;
+    json["agents"] = nlohmann::json::array();
+    for (const agent_status& agent : status.agents) {
+        nlohmann::json entry;
+        entry["name"] = agent.agent.name;
+        entry["zone"] = agent.zone;
+        entry["rack"] = agent.rack;
+        entry["revision"] = agent.revision;
+        entry["draining"] = agent.draining;
+        entry["services"] = nlohmann::json::array();
+        for (const service_capacity& capacity : agent.services)
+            entry["services"].push_back({{"service", capacity.service}, {"slots", capacity.slots}});
+        json["agents"].push_back(std::move(entry));
+    }
+    return json;
+}
+
+outcome_label label_of_reply(const job_reply& reply) {
+    if (const auto* outcome = std::get_if<job_outcome>(&reply))
+        return label_of(*outcome);
+    return outcome_label::complete;
+}
+
+} // namespace
+
+entry_api::entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics,
+                     daemon_view daemon)
+    : clock_{clock}
+    , desk_{desk}
+    , metrics_{metrics}
+    , daemon_{std::move(daemon)} {}
+
+void entry_api::handle(const http_request& request, const http_responder& respond) {
+    const std::string& path = request.path;
+    if (path.starts_with(jobs_prefix)) {
+        handle_job(path.substr(jobs_prefix.size()), request, respond);
+        return;
+    }
+    if (path.starts_with(requests_prefix)) {
+        handle_single_request(path.substr(requests_prefix.size()), request, respond);
+        return;
+    }
+    if (request.method != "GET")
+        respond(to_http(make_problem(404, "Not found", "no such resource")));
+    else if (path == "/healthz")
+        respond(plain(200, "ok\n"));
+    else if (path == "/readyz")
+        respond(daemon_.is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n"));
+    else if (path == "/metrics") {
+        http_response response = plain(200, metrics_.prometheus_text());
+        response.content_type = prometheus_content_type;
+        respond(std::move(response));
+    } else if (path == "/v1/status") {
+        http_response response;
+        response.body = to_json(daemon_.status()).dump();
+        respond(std::move(response));
+    } else {
+        respond(to_http(make_problem(404, "Not found", "no such resource")));
+    }
+}
+
+void entry_api::handle_job(const job_id& job, const http_request& request, const http_responder& respond) {
+    if (request.method == "PUT") {
+        if (request.body.size() > max_request_body_bytes) {
+            respond(to_http(make_problem(413, "Body too large", "the limit is 4 MiB")));
+            return;
+        }
+        auto parsed = parse_job_body(request.body);
+        if (auto* findings = std::get_if<request_findings>(&parsed))
+            respond(to_http(make_findings_response(400, "Invalid job", *findings)));
+        else
+            submit(job, std::move(std::get<job_spec>(parsed)), request, respond);
+        return;
+    }
+    if (request.method != "GET" && request.method != "DELETE") {
+        respond(to_http(make_problem(405, "Method not allowed", "use PUT, GET or DELETE")));
+        return;
+    }
+    if (!is_valid_job_id(job)) {
+        respond(to_http(make_problem(404, "Unknown job", "not a valid job id")));
+        return;
+    }
+    caller_request asked;
+    asked.kind = request.method == "GET" ? caller_request_kind::lookup : caller_request_kind::cancel;
+    asked.job = job;
+    ask(std::move(asked), respond);
+}
+
+void entry_api::handle_single_request(const job_id& job, const http_request& request,
+                                      const http_responder& respond) {
+    if (request.method != "PUT") {
+        respond(to_http(make_problem(405, "Method not allowed", "use PUT")));
+        return;
+    }
+    if (request.body.size() > max_request_body_bytes) {
+        respond(to_http(make_problem(413, "Body too large", "the limit is 4 MiB")));
+        return;
+    }
+    auto parsed = parse_request_body(request.body);
+    if (auto* findings = std::get_if<request_findings>(&parsed))
+        respond(to_http(make_findings_response(400, "Invalid request", *findings)));
+    else
+        submit(job, std::move(std::get<job_spec>(parsed)), request, respond);
+}
+
+void entry_api::submit(const job_id& job, job_spec spec, const http_request& request,
+                       const http_responder& respond) {
+    request_findings findings;
+    const wait_query query = parse_wait(request.query);
+    if (!query.valid)
+        findings.push_back(
+            {"query", "wait_ms=N with N from 0 to " + std::to_string(max_wait_ms), request.query});
+    if (!is_valid_job_id(job))
+        findings.push_back(
+            {"path", "an id of 1 to " + std::to_string(max_job_id_length) + " of A-Z a-z 0-9 . _ -", job});
+    const std::optional<wall_time> created = uuid_time(job);
+    if (created && *created > clock_.wall_now() + clock_skew_limit)
+        findings.push_back({"path", "a UUIDv7 whose time is not in the future", job});
+    if (!findings.empty()) {
+        respond(to_http(make_findings_response(400, "Invalid job", findings)));
+        return;
+    }
+    caller_request asked;
+    asked.kind = caller_request_kind::submit;
+    asked.job = job;
+    asked.spec = std::make_shared<const job_spec>(std::move(spec));
+    asked.traceparent = request.traceparent;
+    asked.wait = query.wait;
+    ask(std::move(asked), respond);
+}
+
+void entry_api::ask(caller_request asked, const http_responder& respond) {
+    const time_point received = clock_.now();
+    const bool is_submission = asked.kind == caller_request_kind::submit;
+    const job_id job = asked.job;
+    desk_.ask(std::move(asked), [this, received, is_submission, job, respond](const job_reply& reply) {
+        if (is_submission && std::holds_alternative<job_outcome>(reply)) {
+            metrics_.jobs.add(label_of_reply(reply));
+            metrics_.response_time.record(clock_.now() - received);
+        }
+        respond(to_http(make_job_response(job, reply)));
+    });
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/entry_api.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "daemon/caller_desk.h"
+#include "daemon/entry_status.h"
+#include "state/clock_source.h"
+#include "transport/http_server.h"
+#include "transport/metrics.h"
+
+#include <functional>
+#include <string>
+
+namespace persimmonstile {
+
+// The HTTP interface of an entry. Checks requests and hands them to the caller desk.
+class entry_api {
+public:
+    // What the interface asks of the daemon.
+    struct daemon_view {
+        std::function<entry_status()> status;
+        std::function<bool()> is_ready;
+    };
+
+    entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics, daemon_view daemon);
+
+    void handle(const http_request& request, const http_responder& respond);
+
+private:
+    void handle_job(const job_id& job, const http_request& request, const http_responder& respond);
+    void handle_single_request(const job_id& job, const http_request& request, const http_responder& respond);
+    void submit(const job_id& job, job_spec spec, const http_request& request, const http_responder& respond);
+    void ask(caller_request asked, const http_responder& respond);
+
+    const clock_source& clock_;
+    caller_desk& desk_;
+    daemon_metrics& metrics_;
+    daemon_view daemon_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/entry_daemon.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "coordination/ownership.h"
+#include "daemon/agent_hub.h"
+#include "daemon/caller_desk.h"
+#include "daemon/entry_api.h"
+#include "daemon/entry_links.h"
+#include "daemon/fleet_holder.h"
+#include "daemon/job_engine.h"
+#include "daemon/peer_dialer.h"
+#include "daemon/peer_session.h"
+#include "daemon/store_worker.h"
+#include "protocol/daemon_settings.h"
+#include "state/clock_source.h"
+#include "transport/frame_listener.h"
+#include "transport/http_server.h"
+#include "transport/io_threads.h"
+#include "transport/metrics.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <asio.hpp>
+
+namespace persimmonstile {
+
+// An entry process: takes callers' requests over HTTP, owns partitions of the job ids and dispatches their
+// tasks. Ownership events run one at a time on the control strand; jobs run under the shards' locks on any
+// thread.
+class entry_daemon {
+public:
+    // Binds both addresses. Throws std::exception if that fails.
+    entry_daemon(daemon_settings settings, const clock_source& clock);
+    ~entry_daemon();
+    entry_daemon(const entry_daemon&) = delete;
+    entry_daemon& operator=(const entry_daemon&) = delete;
+
+    const std::string& http_address() const { return http_->address(); }
+    const std::string& peer_address() const { return peer_address_; }
+
+    // Starts the graceful shutdown: gives the partitions to other entries and answers the callers that wait.
+    void begin_shutdown();
+    // True when nothing is left to wait for.
+    bool is_drained() const;
+    void stop();
+
+private:
+    void accept(asio::ip::tcp::socket socket);
+    void open_session(const std::shared_ptr<peer_session>& session);
+    void receive(const std::shared_ptr<peer_session>& session, frame_kind kind, std::string_view payload);
+    void receive_task(peer_session& session, const task_message& message);
+    void receive_control(const std::shared_ptr<peer_session>& session, const control_message& message);
+    void closed(const std::shared_ptr<peer_session>& session, const std::string& reason);
+
+    // On the control strand.
+    void agent_status_received(const agent_status& status,
+                               const std::shared_ptr<frame_connection>& connection);
+    void agent_control_received(const control_message& message,
+                                const std::shared_ptr<frame_connection>& connection);
+    void perform(const ownership_actions& actions);
+    void table_changed();
+    void config_received(const std::string& content);
+    void tick();
+    void schedule_tick();
+    bool in_force() const;
+
+    entry_status status();
+    void write_gauges();
+
+    daemon_settings settings_;
+    const clock_source& clock_;
+    incarnation self_;
+    daemon_metrics metrics_;
+    fleet_holder fleet_;
+    agent_hub agents_;
+    entry_links entries_;
+    job_engine engine_;
+    caller_desk desk_;
+    io_threads io_;
+    asio::strand<asio::io_context::executor_type> control_;
+    asio::steady_timer tick_timer_;
+    frame_listener listener_;
+    std::string peer_address_;
+    peer_dialer dialer_;
+    ownership ownership_;
+    std::unique_ptr<store_worker> store_;
+    std::unique_ptr<entry_api> api_;
+    std::unique_ptr<http_server> http_;
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> left_{false};
+    std::atomic<bool> ready_{false};
+    bool stopped_ = false;
+};
+
+} // namespace persimmonstile
--- a/daemon/entry_links.cpp
+++ b/daemon/entry_links.cpp
@@ -7,18 +7,18 @@
 
 namespace persimmonstile {
 
-void entry_links::add(const incarnation& entry, const std::shared_ptr<frame_connection>& connection)
-{
+void entry_links::add(const incarnation& entry, const std::shared_ptr<frame_connection>& connection) {
     const std::lock_guard lock{mutex_};
     auto& connections = links_[entry];
     if (std::find(connections.begin(), connections.end(), connection) == connections.end())
         connections.push_back(connection);
 }
 
-std::optional<incarnation> entry_links::remove(const frame_connection* connection)
-{
+std::optional<incarnation> entry_links::remove(const frame_connection* connection) {
     const std::lock_guard lock{mutex_};
-    const auto same = [&](const auto& candidate) { return candidate.get() == connection; };
+    const auto same = [&](const auto& candidate) {
+        return candidate.get() == connection;
+    };
     for (auto it = links_.begin(); it != links_.end(); ++it) {
         if (std::erase_if(it->second, same) == 0)
             continue;
@@ -30,15 +30,13 @@
     return std::nullopt;
 }
 
-std::shared_ptr<frame_connection> entry_links::newest(const incarnation& entry) const
-{
+std::shared_ptr<frame_connection> entry_links::newest(const incarnation& entry) const {
     const std::lock_guard lock{mutex_};
     const auto found = links_.find(entry);
     return found == links_.end() ? nullptr : found->second.back();
 }
 
-bool entry_links::send(const incarnation& entry, const task_message& message) const
-{
+bool entry_links::send(const incarnation& entry, const task_message& message) const {
     const auto connection = newest(entry);
     if (!connection)
         return false;
@@ -46,8 +44,7 @@
     return true;
 }
 
-bool entry_links::send(const incarnation& entry, const control_message& message) const
-{
+bool entry_links::send(const incarnation& entry, const control_message& message) const {
     const auto connection = newest(entry);
     if (!connection)
         return false;
@@ -56,14 +53,12 @@
     return true;
 }
 
-void entry_links::send_to_all(const control_message& message) const
-{
+void entry_links::send_to_all(const control_message& message) const {
     for (const incarnation& entry : connected())
         send(entry, message);
 }
 
-std::vector<incarnation> entry_links::connected() const
-{
+std::vector<incarnation> entry_links::connected() const {
     const std::lock_guard lock{mutex_};
     std::vector<incarnation> result;
     for (const auto& [entry, connections] : links_)
--- a/daemon/entry_links.h
+++ b/daemon/entry_links.h
@@ -14,8 +14,8 @@
 
 namespace persimmonstile {
 
-// Connections to other processes by the incarnation of the entry at their other end. There may be several for one entry,
-// as either side may have opened one. Thread-safe.
+// Connections to other processes by the incarnation of the entry at their other end. There may be several for
+// one entry, as either side may have opened one. Thread-safe.
 class entry_links {
 public:
     void add(const incarnation& entry, const std::shared_ptr<frame_connection>& connection);
--- a/daemon/fleet_holder.h
+++ b/daemon/fleet_holder.h
@@ -9,8 +9,8 @@
 
 namespace persimmonstile {
 
-// The newest fleet configuration that this process knows. A newer revision is never replaced by an older one, whatever
-// the store or a peer returns. Thread-safe.
+// The newest fleet configuration that this process knows. A newer revision is never replaced by an older one,
+// whatever the store or a peer returns. Thread-safe.
 class fleet_holder {
 public:
     // The decoded view if the document is valid and newer than the present one, nullptr otherwise.
--- a/daemon/peer_dialer.cpp
+++ b/daemon/peer_dialer.cpp
@@ -9,12 +9,9 @@
 peer_dialer::peer_dialer(asio::io_context& context, const clock_source& clock, connect_handler on_connect)
     : context_{context}
     , clock_{clock}
-    , on_connect_{std::move(on_connect)}
-{
-}
+    , on_connect_{std::move(on_connect)} {}
 
-void peer_dialer::set_addresses(const std::set<std::string>& addresses)
-{
+void peer_dialer::set_addresses(const std::set<std::string>& addresses) {
     const std::lock_guard lock{mutex_};
     for (auto it = connectors_.begin(); it != connectors_.end();) {
         if (addresses.contains(it->first)) {
@@ -37,14 +34,15 @@
     }
 }
 
-void peer_dialer::lost(const std::string& address)
-{
+void peer_dialer::lost(const std::string& address) {
     const std::lock_guard lock{mutex_};
     const auto found = connectors_.find(address);
     if (found != connectors_.end())
         found->second->connection_lost();
 }
 
-void peer_dialer::stop() { set_addresses({}); }
+void peer_dialer::stop() {
+    set_addresses({});
+}
 
 } // namespace persimmonstile
--- /dev/null
+++ b/daemon/store_worker.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "coordination/ownership.h"
+#include "state/clock_source.h"
+#include "state/owner_table.h"
+#include "transport/etcd_store.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace persimmonstile {
+
+// Result of reading the owner table. available is false if the store did not answer or its value could not be
+// read.
+struct table_read_result {
+    bool available = false;
+    std::optional<owner_table> table;
+    std::int64_t mod_revision = 0;
+};
+
+// Performs an entry's blocking store calls: the owner table on one thread, in the order of the requests, and
+// the wait for a new configuration on another.
+class store_worker {
+public:
+    using read_handler = std::function<void(const table_read_result&)>;
+    using write_handler = std::function<void(table_write_result)>;
+    // Called with each configuration document that the store returns; older ones are possible.
+    using config_handler = std::function<void(const std::string& content)>;
+
+    store_worker(const std::vector<std::string>& endpoints, std::string cell, const clock_source& clock,
+                 std::uint64_t seed, config_handler on_config);
+    ~store_worker();
+    store_worker(const store_worker&) = delete;
+    store_worker& operator=(const store_worker&) = delete;
+
+    void read_table(read_handler on_result);
+    void write_table(const table_write& write, write_handler on_result);
+    // Only the watching entry waits for changes, so that the store's load does not grow with the number of
+    // entries.
+    void set_watching(bool watching);
+    void stop();
+
+private:
+    void run_calls();
+    void run_watch();
+    bool wait_until_watching();
+    void read_config_once();
+    void watch_once();
+
+    std::string cell_;
+    etcd_store store_;
+    config_handler on_config_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<std::function<void()>> calls_;
+    bool watching_ = false;
+    bool stopping_ = false;
+    std::uint64_t config_mod_ = 0;
+    std::thread call_thread_;
+    std::thread watch_thread_;
+};
+
+} // namespace persimmonstile
