--- /dev/null
+++ b/coordination/call_pacer.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "state/time.h"
+
+#include <cstdint>
+#include <random>
+
+namespace persimmonstile {
+
+// Bounds of the calls that one process makes to the store.
+struct call_pacer_settings {
+    // 200 entries and commands at this rate stay within the store's 2,000 reads/s.
+    double calls_per_second = 10;
+    // Calls that may be made at once after an idle time.
+    double burst = 20;
+    // Delay after the first failure; it doubles with every further one up to the maximum.
+    milliseconds first_backoff{50};
+    milliseconds maximum_backoff{2000};
+};
+
+// Decides how long a caller waits before its next call: a token bucket, and after failures an exponential
+// backoff. The backoff is jittered, because the clients of a store that returns would otherwise call at the
+// same moment. Not synchronised.
+class call_pacer {
+public:
+    call_pacer(call_pacer_settings settings, std::uint64_t seed);
+
+    // Takes a slot for one call and returns how long to wait before making it.
+    boot_clock::duration reserve(time_point now);
+
+    void record_success();
+    void record_failure(time_point now);
+
+private:
+    call_pacer_settings settings_;
+    std::mt19937_64 random_;
+    double tokens_;
+    time_point refilled_{};
+    time_point not_before_{};
+    unsigned failures_ = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/key_value_store.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "coordination/store_results.h"
+#include "state/time.h"
+
+#include <concepts>
+#include <string>
+
+namespace persimmonstile {
+
+// The platform's key-value service. Calls block and are made from a thread that may block.
+//   get                the present value
+//   compare_and_swap   writes only if the key's revision is still the expected one (0: the key must not
+//   exist) wait_for_change    returns as soon as the key changes after the given revision, store_missing if
+//   it was
+//                      deleted, or store_unchanged after the timeout
+template <typename T>
+concept key_value_store = requires(T& store, const std::string& key, const std::string& value,
+                                   store_revision revision, milliseconds timeout) {
+    { store.get(key) } -> std::same_as<get_result>;
+    { store.compare_and_swap(key, value, revision) } -> std::same_as<swap_result>;
+    { store.wait_for_change(key, revision, timeout) } -> std::same_as<wait_result>;
+};
+
+// Writes with compare_and_swap and resolves a lost answer. Instead of reading back, which an outdated replica
+// could answer wrongly, the same swap is sent again: if the first one took effect, the second loses the race
+// and returns the present value, in which is_own_write recognises the operation id.
+// The result is store_unavailable with may_have_applied only if every attempt was left without an answer.
+template <key_value_store Store, std::predicate<const std::string&> Own_write>
+swap_result swap_with_confirmation(Store& store, const std::string& key, const std::string& value,
+                                   store_revision expected, int attempts, const Own_write& is_own_write) {
+    swap_result result = store_unavailable{};
+    bool may_have_applied = false;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        result = store.compare_and_swap(key, value, expected);
+        if (auto* const lost = std::get_if<store_lost_race>(&result)) {
+            if (lost->current && is_own_write(lost->current->value))
+                return store_written{lost->current->mod_revision};
+            return result;
+        }
+        if (std::holds_alternative<store_written>(result))
+            return result;
+        may_have_applied = may_have_applied || std::get<store_unavailable>(result).may_have_applied;
+    }
+    std::get<store_unavailable>(result).may_have_applied = may_have_applied;
+    return result;
+}
+
+// Keys of one cell.
+inline std::string owner_table_key(const std::string& cell) {
+    return "persimmonstile/" + cell + "/owner_table";
+}
+
+inline std::string config_key(const std::string& cell) {
+    return "persimmonstile/" + cell + "/config";
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/store_results.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace persimmonstile {
+
+// Revision of a key in the store (mod_revision). 0 means that the key does not exist.
+using store_revision = std::uint64_t;
+
+// A value and the revision of its last change.
+struct stored_value {
+    std::string value;
+    store_revision mod_revision = 0;
+};
+
+// The key does not exist.
+struct store_missing {};
+
+// The write took effect and gave the key this revision.
+struct store_written {
+    store_revision mod_revision = 0;
+};
+
+// The key no longer had the expected revision; nothing was written. current is what the store held instead,
+// read in the same transaction, and empty if the key did not exist.
+struct store_lost_race {
+    std::optional<stored_value> current;
+};
+
+// The wait ended without a change.
+struct store_unchanged {};
+
+// No usable answer. may_have_applied is set if a write could have taken effect all the same.
+struct store_unavailable {
+    std::string detail;
+    bool may_have_applied = false;
+};
+
+using get_result = std::variant<stored_value, store_missing, store_unavailable>;
+using swap_result = std::variant<store_written, store_lost_race, store_unavailable>;
+using put_result = std::variant<store_written, store_unavailable>;
+using wait_result = std::variant<stored_value, store_missing, store_unchanged, store_unavailable>;
+
+} // namespace persimmonstile
