Add the entry and agent daemons

Cause: the parts need processes that join them: one control strand for ownership, shards under locks for jobs, a task table and a grantor in each agent.

--- /dev/null
+++ b/daemon/agent_daemon.cpp
@@ -0,0 +1,353 @@
+#include "daemon/agent_daemon.h"
+
+#include "protocol/announcement_json.h"
+#include "protocol/job_response.h"
+#include "protocol/task_codec.h"
+#include "state/limits.h"
+#include "transport/logging.h"
+
+#include <random>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "agent";
+constexpr milliseconds tick_interval{20};
+constexpr std::size_t http_threads = 1;
+constexpr std::size_t max_announcement_bytes = std::size_t{64} * 1024;
+
+incarnation new_incarnation(const std::string& name) {
+    std::random_device random;
+    const std::uint64_t high = random();
+    return {name, (high << 32U) | random()};
+}
+
+void send_control(frame_connection& connection, const control_message& message) {
+    const encoded_frame frame = encode_control_message(message);
+    connection.send(frame.kind, frame.payload);
+}
+
+http_response text_response(std::uint16_t status, std::string text) {
+    http_response response;
+    response.status = status;
+    response.content_type = "text/plain; charset=utf-8";
+    response.body = std::move(text);
+    return response;
+}
+
+} // namespace
+
+agent_daemon::agent_daemon(daemon_settings settings, const clock_source& clock)
+    : settings_{std::move(settings)}
+    , clock_{clock}
+    , self_{new_incarnation(settings_.name)}
+    , tasks_{self_, settings_.zone, settings_.rack}
+    , grantor_{self_, clock.now()}
+    , io_{settings_.threads}
+    , control_{asio::make_strand(io_.context())}
+    , tick_timer_{control_}
+    , dialer_{io_.context(), clock,
+              [this](const std::string& address, std::shared_ptr<frame_connection> connection) {
+                  auto session = std::make_shared<peer_session>();
+                  session->address = address;
+                  session->connection = std::move(connection);
+                  open_session(session);
+              }} {
+    backends_ = std::make_unique<backend_client>(clock_, [this](const backend_call& call,
+                                                                const backend_result& result) {
+        apply([&](agent_tasks& tasks) { return tasks.answered(call.job, call.index, result, clock_.now()); });
+    });
+    http_limits limits;
+    limits.max_body_bytes = max_announcement_bytes;
+    limits.max_connections = 256;
+    http_ = std::make_unique<http_server>(settings_.http_address, http_threads, limits,
+                                          [this](const http_request& request, const http_responder& respond) {
+                                              handle_http(request, respond);
+                                          });
+    redial();
+    asio::post(control_, [this] { schedule_tick(); });
+    log_event(log_level::info, component, "started", {{"name", self_.name}, {"http", http_->address()}});
+}
+
+agent_daemon::~agent_daemon() {
+    stop();
+}
+
+void agent_daemon::begin_shutdown() {
+    draining_ = true;
+    log_event(log_level::info, component, "graceful shutdown started");
+    apply([&](agent_tasks& tasks) { return tasks.drain(clock_.now()); });
+    send_status();
+}
+
+bool agent_daemon::is_drained() const {
+    if (!draining_)
+        return false;
+    const std::lock_guard lock{tasks_mutex_};
+    return tasks_.running() == 0;
+}
+
+void agent_daemon::stop() {
+    if (std::exchange(stopped_, true))
+        return;
+    http_->stop();
+    backends_->stop();
+    io_.stop();
+    log_event(log_level::info, component, "stopped", {{"name", self_.name}});
+}
+
+void agent_daemon::open_session(const std::shared_ptr<peer_session>& session) {
+    session->connection->start(
+        [this, session](frame_kind kind, std::string_view payload) { receive(session, kind, payload); },
+        [this, session](const std::string&) { closed(session); });
+    agent_status status;
+    {
+        const std::lock_guard lock{tasks_mutex_};
+        status = tasks_.status();
+    }
+    send_control(*session->connection, status);
+}
+
+void agent_daemon::closed(const std::shared_ptr<peer_session>& session) {
+    entries_.remove(session->connection.get());
+    dialer_.lost(session->address);
+}
+
+void agent_daemon::receive(const std::shared_ptr<peer_session>& session, frame_kind kind,
+                           std::string_view payload) {
+    std::string error;
+    if (kind == frame_kind::task) {
+        const auto decoded = decode_task_message(payload);
+        if (const auto* message = std::get_if<task_message>(&decoded))
+            receive_task(*session, *message);
+        else
+            error = std::get<decode_error>(decoded).detail;
+    } else {
+        const auto decoded = session->decoder.decode(kind, payload);
+        if (const auto* message = std::get_if<control_message>(&decoded))
+            receive_control(session, *message);
+        else
+            error = std::get<decode_error>(decoded).detail;
+    }
+    if (error.empty())
+        return;
+    log_event(log_level::warn, component, "closing a connection that sent a malformed frame",
+              {{"detail", error}});
+    session->connection->close("malformed frame");
+}
+
+void agent_daemon::receive_task(const peer_session& session, const task_message& message) {
+    if (!session.entry)
+        return;
+    const incarnation& owner = *session.entry;
+    const time_point now = clock_.now();
+    if (const auto* work = std::get_if<dispatch>(&message))
+        apply([&](agent_tasks& tasks) { return tasks.dispatched(owner, *work, now); });
+    else if (const auto* withdrawn = std::get_if<revoke>(&message))
+        apply([&](agent_tasks& tasks) { return tasks.revoked(owner, *withdrawn, now); });
+    else if (const auto* query = std::get_if<query_job>(&message))
+        apply([&](agent_tasks& tasks) { return tasks.queried(owner, *query, now); });
+}
+
+template <typename Event> void agent_daemon::apply(Event event) {
+    agent_actions actions;
+    {
+        const std::lock_guard lock{tasks_mutex_};
+        actions = event(tasks_);
+    }
+    perform(std::move(actions));
+}
+
+void agent_daemon::perform(agent_actions actions) {
+    backends_->start(std::move(actions.calls));
+    for (const entry_send& send : actions.sends) {
+        metrics_.messages.add(kind_of(send.message));
+        entries_.send(send.to, send.message);
+    }
+    if (!actions.fetch_from.name.empty())
+        entries_.send(actions.fetch_from, control_message{content_request{0, fleet_.revision()}});
+}
+
+void agent_daemon::receive_control(const std::shared_ptr<peer_session>& session,
+                                   const control_message& message) {
+    frame_connection& connection = *session->connection;
+    const time_point now = clock_.now();
+    if (const auto* hello = std::get_if<entry_hello>(&message)) {
+        entry_introduced(session, *hello);
+    } else if (const auto* request = std::get_if<grant_request>(&message)) {
+        grant_reply reply;
+        {
+            const std::lock_guard lock{grantor_mutex_};
+            reply = grantor_.request(*request, fleet_.revision(), now);
+        }
+        reply.revision = fleet_.revision();
+        send_control(connection, reply);
+        if (request->revision > fleet_.revision())
+            send_control(connection, content_request{0, fleet_.revision()});
+    } else if (const auto* push = std::get_if<table_push>(&message)) {
+        table_received(*push, connection);
+    } else if (const auto* config = std::get_if<config_push>(&message)) {
+        config_received(config->content);
+    } else if (const auto* pong = std::get_if<view_pong>(&message)) {
+        pong_received(*pong, connection);
+    } else if (const auto* wanted = std::get_if<content_request>(&message)) {
+        if (fleet_.revision() > wanted->known_revision)
+            send_control(connection, fleet_.push());
+        const std::lock_guard lock{grantor_mutex_};
+        if (grantor_.table().version > wanted->known_version)
+            send_control(connection, table_push{grantor_.table()});
+    } else if (const auto* question = std::get_if<recovery_request>(&message)) {
+        const std::lock_guard lock{grantor_mutex_};
+        if (const auto reply = grantor_.answer(*question))
+            send_control(connection, *reply);
+    } else if (const auto* reply = std::get_if<recovery_reply>(&message)) {
+        const std::lock_guard lock{grantor_mutex_};
+        grantor_.recovered(*reply, now);
+    }
+}
+
+void agent_daemon::entry_introduced(const std::shared_ptr<peer_session>& session, const entry_hello& hello) {
+    session->entry = hello.entry;
+    entries_.add(hello.entry, session->connection);
+}
+
+void agent_daemon::table_received(const table_push& push, frame_connection& connection) {
+    table_ack ack;
+    owner_table table;
+    {
+        const std::lock_guard lock{grantor_mutex_};
+        ack = grantor_.push(push.table, clock_.now());
+        table = grantor_.table();
+    }
+    // The task table must refuse old epochs before the owner learns that this agent knows the new ones.
+    apply([&](agent_tasks& tasks) { return tasks.set_table(table, clock_.now()); });
+    send_control(connection, ack);
+    redial();
+}
+
+void agent_daemon::pong_received(const view_pong& pong, frame_connection& connection) {
+    table_version own_version = 0;
+    {
+        const std::lock_guard lock{grantor_mutex_};
+        own_version = grantor_.table().version;
+    }
+    // A view that is known to be old must not be prolonged.
+    if (pong.version > own_version || pong.revision > fleet_.revision()) {
+        send_control(connection, content_request{own_version, fleet_.revision()});
+        return;
+    }
+    if (pong.lease_ns <= 0)
+        return;
+    if (pong.recorded && !recorded_.exchange(true))
+        apply([&](agent_tasks& tasks) { return tasks.set_recorded(clock_.now()); });
+    const time_point until{std::chrono::nanoseconds{pong.sent_ns + pong.lease_ns}};
+    apply([&](agent_tasks& tasks) { return tasks.extend_lease(until, clock_.now()); });
+}
+
+void agent_daemon::config_received(const std::string& content) {
+    const auto view = fleet_.offer(content);
+    if (!view)
+        return;
+    log_event(log_level::info, component, "configuration in use", {{"revision", view->revision}});
+    metrics_.configuration_revision.set(static_cast<std::int64_t>(view->revision));
+    apply([&](agent_tasks& tasks) { return tasks.set_fleet(view, clock_.now()); });
+    send_status();
+}
+
+void agent_daemon::send_status() {
+    agent_status status;
+    {
+        const std::lock_guard lock{tasks_mutex_};
+        status = tasks_.status();
+    }
+    entries_.send_to_all(status);
+}
+
+void agent_daemon::redial() {
+    std::set<std::string> addresses{settings_.peers.begin(), settings_.peers.end()};
+    {
+        const std::lock_guard lock{grantor_mutex_};
+        for (const entry_address& entry : grantor_.table().entries)
+            addresses.insert(entry.address);
+    }
+    dialer_.set_addresses(addresses);
+}
+
+void agent_daemon::schedule_tick() {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(asio::bind_executor(control_, [this](asio::error_code error) {
+        if (error)
+            return;
+        tick();
+        schedule_tick();
+    }));
+}
+
+void agent_daemon::tick() {
+    const time_point now = clock_.now();
+    if (now - last_ping_ >= view_ping_interval) {
+        last_ping_ = now;
+        entries_.send_to_all(view_ping{now.time_since_epoch().count()});
+    }
+    std::optional<recovery_request> recovery;
+    {
+        const std::lock_guard lock{grantor_mutex_};
+        recovery = grantor_.recovery_due(now);
+    }
+    if (recovery)
+        entries_.send_to_all(*recovery);
+    bool status_changed = false;
+    apply([&](agent_tasks& tasks) {
+        agent_actions actions = tasks.tick(now);
+        status_changed = tasks.take_status_change();
+        metrics_.running_tasks.set(static_cast<std::int64_t>(tasks.running()));
+        return actions;
+    });
+    if (status_changed)
+        send_status();
+}
+
+void agent_daemon::handle_http(const http_request& request, const http_responder& respond) {
+    if (request.method == "POST" && request.path == "/v1/announce")
+        respond(announce(request.body));
+    else if (request.method != "GET")
+        respond(text_response(404, "no such resource\n"));
+    else if (request.path == "/healthz")
+        respond(text_response(200, "ok\n"));
+    else if (request.path == "/readyz") {
+        const bool ready = recorded_ && fleet_.revision() > 0 && !draining_;
+        respond(ready ? text_response(200, "ready\n") : text_response(503, "not ready\n"));
+    } else if (request.path == "/metrics") {
+        http_response response = text_response(200, metrics_.prometheus_text());
+        response.content_type = prometheus_content_type;
+        respond(std::move(response));
+    } else {
+        respond(text_response(404, "no such resource\n"));
+    }
+}
+
+http_response agent_daemon::announce(const std::string& body) {
+    const auto parsed = parse_announcement(body);
+    if (const auto* problems = std::get_if<request_findings>(&parsed)) {
+        job_response problem = make_findings_response(400, "Invalid announcement", *problems);
+        http_response response;
+        response.status = problem.status;
+        response.content_type = std::move(problem.content_type);
+        response.body = std::move(problem.body);
+        return response;
+    }
+    const auto& announced = std::get<announcement>(parsed);
+    backends_->set_connection_limit(announced.connections);
+    bool changed = false;
+    apply([&](agent_tasks& tasks) {
+        changed = tasks.announced(announced, clock_.now());
+        return agent_actions{};
+    });
+    if (changed)
+        send_status();
+    return text_response(204, {});
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/agent_daemon.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "coordination/agent_tasks.h"
+#include "coordination/grantor.h"
+#include "daemon/entry_links.h"
+#include "daemon/fleet_holder.h"
+#include "daemon/peer_dialer.h"
+#include "daemon/peer_session.h"
+#include "protocol/daemon_settings.h"
+#include "state/clock_source.h"
+#include "transport/backend_client.h"
+#include "transport/http_server.h"
+#include "transport/io_threads.h"
+#include "transport/metrics.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include <asio.hpp>
+
+namespace persimmonstile {
+
+// An agent process beside one backend server: runs the tasks that owners dispatch to it, and grants leases to
+// owners. The task table and the grantor each have a lock of their own.
+class agent_daemon {
+public:
+    // Binds the HTTP address. Throws std::exception if that fails.
+    agent_daemon(daemon_settings settings, const clock_source& clock);
+    ~agent_daemon();
+    agent_daemon(const agent_daemon&) = delete;
+    agent_daemon& operator=(const agent_daemon&) = delete;
+
+    const std::string& http_address() const { return http_->address(); }
+
+    // Starts the graceful shutdown: refuses new tasks, finishes the running ones.
+    void begin_shutdown();
+    // True when nothing is left to wait for.
+    bool is_drained() const;
+    void stop();
+
+private:
+    void open_session(const std::shared_ptr<peer_session>& session);
+    void receive(const std::shared_ptr<peer_session>& session, frame_kind kind, std::string_view payload);
+    void receive_task(const peer_session& session, const task_message& message);
+    void receive_control(const std::shared_ptr<peer_session>& session, const control_message& message);
+    void entry_introduced(const std::shared_ptr<peer_session>& session, const entry_hello& hello);
+    void table_received(const table_push& push, frame_connection& connection);
+    void pong_received(const view_pong& pong, frame_connection& connection);
+    void config_received(const std::string& content);
+    void closed(const std::shared_ptr<peer_session>& session);
+
+    // Runs one event on the task table under its lock and performs the actions.
+    template <typename Event> void apply(Event event);
+    void perform(agent_actions actions);
+    void send_status();
+    void redial();
+    void schedule_tick();
+    void tick();
+
+    void handle_http(const http_request& request, const http_responder& respond);
+    http_response announce(const std::string& body);
+
+    daemon_settings settings_;
+    const clock_source& clock_;
+    incarnation self_;
+    daemon_metrics metrics_;
+    fleet_holder fleet_;
+    entry_links entries_;
+    mutable std::mutex tasks_mutex_;
+    agent_tasks tasks_;
+    std::mutex grantor_mutex_;
+    grantor grantor_;
+    io_threads io_;
+    asio::strand<asio::io_context::executor_type> control_;
+    asio::steady_timer tick_timer_;
+    peer_dialer dialer_;
+    std::unique_ptr<backend_client> backends_;
+    std::unique_ptr<http_server> http_;
+    time_point last_ping_{};
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> recorded_{false};
+    bool stopped_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/entry_daemon.cpp
@@ -0,0 +1,394 @@
+#include "daemon/entry_daemon.h"
+
+#include "protocol/task_codec.h"
+#include "state/limits.h"
+#include "transport/logging.h"
+#include "transport/peer_address.h"
+
+#include <algorithm>
+#include <future>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "entry";
+constexpr milliseconds tick_interval{20};
+// Memory for ended jobs of one entry. At 200 bytes an answer this holds the answers of about 5,000 tasks a
+// second over the deduplication window; beyond it new jobs are refused.
+constexpr std::size_t max_retained_bytes = std::size_t{512} * 1024 * 1024;
+constexpr std::size_t http_threads = 2;
+// RESTinio closes connections whose body exceeds this. Bodies between the job limit and this get a 413.
+constexpr std::size_t max_http_body_bytes = 2 * max_request_body_bytes;
+
+incarnation new_incarnation(const std::string& name) {
+    std::random_device random;
+    const std::uint64_t high = random();
+    return {name, (high << 32U) | random()};
+}
+
+struct peer_address required_address(const std::string& text) {
+    const auto parsed = parse_peer_address(text);
+    if (!parsed)
+        throw std::invalid_argument("not an ip:port address: " + text);
+    return *parsed;
+}
+
+std::uint64_t random_seed() {
+    std::random_device random;
+    return random();
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(daemon_settings settings, const clock_source& clock)
+    : settings_{std::move(settings)}
+    , clock_{clock}
+    , self_{new_incarnation(settings_.name)}
+    , agents_{clock}
+    , engine_{clock, agents_, max_retained_bytes,
+              [this](const caller_answer& answer) { desk_.deliver(answer); },
+              [](const ended_job&) {
+              }}
+    , desk_{clock, self_,
+            [this](const incarnation& to, const task_message& message) {
+                return entries_.send(to, message);
+            }}
+    , io_{settings_.threads}
+    , control_{asio::make_strand(io_.context())}
+    , tick_timer_{control_}
+    , listener_{io_.context(), required_address(settings_.peer_address),
+                [this](asio::ip::tcp::socket socket) {
+                    accept(std::move(socket));
+                }}
+    , peer_address_{to_string(listener_.local_address())}
+    , dialer_{io_.context(), clock,
+              [this](const std::string& address, std::shared_ptr<frame_connection> connection) {
+                  auto session = std::make_shared<peer_session>();
+                  session->address = address;
+                  session->connection = std::move(connection);
+                  open_session(session);
+              }}
+    , ownership_{self_, peer_address_, settings_.minimum_grantors} {
+    desk_.attach(engine_);
+    store_ = std::make_unique<store_worker>(
+        settings_.store_endpoints, settings_.cell, clock_, random_seed(), [this](const std::string& content) {
+            asio::post(control_, [this, content] { config_received(content); });
+        });
+    api_ = std::make_unique<entry_api>(clock_, desk_, metrics_,
+                                       entry_api::daemon_view{[this] { return status(); },
+                                                              [this] {
+                                                                  return ready_ && !draining_;
+                                                              }});
+    http_limits limits;
+    limits.max_body_bytes = max_http_body_bytes;
+    http_ = std::make_unique<http_server>(settings_.http_address, http_threads, limits,
+                                          [this](const http_request& request, const http_responder& respond) {
+                                              api_->handle(request, respond);
+                                          });
+    listener_.start();
+    asio::post(control_, [this] { schedule_tick(); });
+    log_event(log_level::info, component, "started",
+              {{"name", self_.name}, {"http", http_->address()}, {"peers", peer_address_}});
+}
+
+entry_daemon::~entry_daemon() {
+    stop();
+}
+
+void entry_daemon::begin_shutdown() {
+    draining_ = true;
+    log_event(log_level::info, component, "graceful shutdown started");
+    asio::post(control_, [this] { perform(ownership_.leave(clock_.now())); });
+}
+
+bool entry_daemon::is_drained() const {
+    return draining_ && left_ && desk_.waiting_callers() == 0 && http_->open_requests() == 0;
+}
+
+void entry_daemon::stop() {
+    if (std::exchange(stopped_, true))
+        return;
+    http_->stop();
+    store_->stop();
+    io_.stop();
+    log_event(log_level::info, component, "stopped", {{"name", self_.name}});
+}
+
+void entry_daemon::accept(asio::ip::tcp::socket socket) {
+    auto session = std::make_shared<peer_session>();
+    session->connection = std::make_shared<frame_connection>(std::move(socket), clock_);
+    open_session(session);
+}
+
+void entry_daemon::open_session(const std::shared_ptr<peer_session>& session) {
+    session->connection->start(
+        [this, session](frame_kind kind, std::string_view payload) { receive(session, kind, payload); },
+        [this, session](const std::string& reason) { closed(session, reason); });
+    const encoded_frame hello = encode_control_message(entry_hello{self_, peer_address_});
+    session->connection->send(hello.kind, hello.payload);
+}
+
+void entry_daemon::receive(const std::shared_ptr<peer_session>& session, frame_kind kind,
+                           std::string_view payload) {
+    std::string error;
+    if (kind == frame_kind::task) {
+        const auto decoded = decode_task_message(payload);
+        if (const auto* message = std::get_if<task_message>(&decoded))
+            receive_task(*session, *message);
+        else
+            error = std::get<decode_error>(decoded).detail;
+    } else {
+        const auto decoded = session->decoder.decode(kind, payload);
+        if (const auto* message = std::get_if<control_message>(&decoded))
+            receive_control(session, *message);
+        else
+            error = std::get<decode_error>(decoded).detail;
+    }
+    if (error.empty())
+        return;
+    log_event(log_level::warn, component, "closing a connection that sent a malformed frame",
+              {{"detail", error}});
+    session->connection->close("malformed frame");
+}
+
+void entry_daemon::receive_task(peer_session& session, const task_message& message) {
+    if (const auto* reports = std::get_if<task_reports>(&message)) {
+        for (const task_report& report : reports->reports) {
+            metrics_.tasks.add(report.status);
+            if (report.status == task_status::not_started) {
+                metrics_.refusals.add(report.reason);
+                metrics_.wasted_messages.add(message_kind::dispatch);
+            }
+        }
+        engine_.reported(*reports);
+    } else if (const auto* report = std::get_if<job_report>(&message)) {
+        engine_.query_answered(*report);
+    } else if (const auto* result = std::get_if<job_result>(&message)) {
+        desk_.deliver_forwarded(*result);
+    } else if (!session.entry) {
+        log_event(log_level::warn, component, "forwarded request from a peer that did not introduce itself");
+    } else if (const auto* job = std::get_if<forward_job>(&message)) {
+        desk_.forwarded(*session.entry, *job);
+    } else if (const auto* lookup = std::get_if<forward_lookup>(&message)) {
+        desk_.forwarded(*session.entry, *lookup);
+    }
+}
+
+void entry_daemon::receive_control(const std::shared_ptr<peer_session>& session,
+                                   const control_message& message) {
+    const auto connection = session->connection;
+    if (const auto* hello = std::get_if<entry_hello>(&message)) {
+        session->entry = hello->entry;
+        entries_.add(hello->entry, connection);
+    } else if (const auto* ping = std::get_if<view_ping>(&message)) {
+        if (session->agent)
+            asio::post(control_, [this, ping = *ping, agent = *session->agent, connection] {
+                view_ping_received(ping, agent, connection);
+            });
+    } else if (const auto* status = std::get_if<agent_status>(&message)) {
+        session->agent = status->agent;
+        asio::post(control_,
+                   [this, status = *status, connection] { agent_status_received(status, connection); });
+    } else {
+        asio::post(control_, [this, message, connection] { agent_control_received(message, connection); });
+    }
+}
+
+void entry_daemon::closed(const std::shared_ptr<peer_session>& session, const std::string& reason) {
+    log_event(log_level::debug, component, "connection closed", {{"reason", reason}});
+    if (!session->address.empty())
+        dialer_.lost(session->address);
+    const frame_connection* connection = session->connection.get();
+    if (const auto entry = entries_.remove(connection))
+        desk_.entry_disconnected(*entry);
+    asio::post(control_, [this, keep = session->connection] {
+        if (const auto agent = agents_.disconnected(keep.get())) {
+            engine_.agent_disconnected(*agent);
+            perform(ownership_.agent_disconnected(*agent, clock_.now()));
+        }
+    });
+}
+
+void entry_daemon::agent_status_received(const agent_status& status,
+                                         const std::shared_ptr<frame_connection>& connection) {
+    const agent_hub::registration registered = agents_.connected(status, connection);
+    for (const incarnation& old : registered.replaced) {
+        log_event(log_level::info, component, "agent restarted", {{"agent", old.name}});
+        engine_.agent_gone(old);
+    }
+    if (registered.is_new)
+        perform(ownership_.agent_connected(status.agent, clock_.now()));
+    engine_.agent_connected(status, registered.is_new);
+}
+
+void entry_daemon::view_ping_received(const view_ping& ping, const incarnation& agent,
+                                      const std::shared_ptr<frame_connection>& connection) {
+    view_pong pong;
+    pong.sent_ns = ping.sent_ns;
+    pong.lease_ns = ownership_.lease_left(clock_.now()).count();
+    pong.version = ownership_.table().version;
+    pong.revision = fleet_.revision();
+    pong.recorded = ownership_.is_recorded(agent);
+    const encoded_frame frame = encode_control_message(pong);
+    connection->send(frame.kind, frame.payload);
+}
+
+void entry_daemon::agent_control_received(const control_message& message,
+                                          const std::shared_ptr<frame_connection>& connection) {
+    const time_point now = clock_.now();
+    const auto answer = [&](const control_message& reply) {
+        const encoded_frame frame = encode_control_message(reply);
+        connection->send(frame.kind, frame.payload);
+    };
+    if (const auto* reply = std::get_if<grant_reply>(&message)) {
+        if (reply->revision > fleet_.revision())
+            answer(content_request{ownership_.table().version, fleet_.revision()});
+        else if (reply->revision < fleet_.revision())
+            answer(fleet_.push());
+        perform(ownership_.grant_replied(*reply, now));
+    } else if (const auto* ack = std::get_if<table_ack>(&message)) {
+        perform(ownership_.table_acknowledged(*ack, now));
+    } else if (const auto* push = std::get_if<table_push>(&message)) {
+        perform(ownership_.table_received(push->table, now));
+    } else if (const auto* config = std::get_if<config_push>(&message)) {
+        config_received(config->content);
+    } else if (const auto* request = std::get_if<content_request>(&message)) {
+        if (ownership_.table().version > request->known_version)
+            answer(table_push{ownership_.table()});
+        if (fleet_.revision() > request->known_revision)
+            answer(fleet_.push());
+    } else if (const auto* asked = std::get_if<recovery_request>(&message)) {
+        agents_.send_to_others(asked->asker, *asked);
+    } else if (const auto* recovery = std::get_if<recovery_reply>(&message)) {
+        if (recovery->asker == self_)
+            perform(ownership_.records_replied(*recovery, now));
+        else
+            agents_.send(recovery->asker, control_message{*recovery});
+    }
+}
+
+void entry_daemon::perform(const ownership_actions& actions) {
+    for (const control_send& send : actions.sends) {
+        metrics_.messages.add(kind_of(send.message));
+        agents_.send(send.to, send.message);
+    }
+    for (const partition_id partition : actions.lost)
+        engine_.lose(partition);
+    for (const partition_gain& gained : actions.gained) {
+        engine_.gain(gained);
+        for (const incarnation& gone : agents_.expect(gained.suspects))
+            engine_.agent_gone(gone);
+    }
+    engine_.set_lease(clock_.now() + ownership_.lease_left(clock_.now()));
+    if (actions.table_changed || !actions.gained.empty() || !actions.lost.empty())
+        table_changed();
+    if (actions.read_table)
+        store_->read_table([this](const table_read_result& result) {
+            asio::post(control_, [this, result] {
+                const time_point now = clock_.now();
+                perform(result.available ? ownership_.table_read(result.table, result.mod_revision, now)
+                                         : ownership_.table_unavailable(now));
+            });
+        });
+    if (actions.write)
+        store_->write_table(*actions.write, [this](table_write_result result) {
+            asio::post(control_, [this, result] { perform(ownership_.table_written(result, clock_.now())); });
+        });
+}
+
+void entry_daemon::table_changed() {
+    const owner_table& table = ownership_.table();
+    desk_.set_table(table);
+    engine_.set_entry_count(static_cast<std::uint32_t>(std::max<std::size_t>(1, table.entries.size())));
+    std::set<std::string> addresses;
+    for (const entry_address& entry : table.entries) {
+        if (entry.entry != self_)
+            addresses.insert(entry.address);
+    }
+    dialer_.set_addresses(addresses);
+    const bool watching = table.partitions.empty() || table.partitions.front().owner == self_;
+    store_->set_watching(watching);
+    metrics_.owner_table_version.set(static_cast<std::int64_t>(table.version));
+    log_event(log_level::info, component, "owner table changed",
+              {{"version", table.version}, {"entries", table.entries.size()}, {"watching", watching}});
+}
+
+void entry_daemon::config_received(const std::string& content) {
+    const auto view = fleet_.offer(content);
+    if (!view)
+        return;
+    log_event(log_level::info, component, "configuration in use", {{"revision", view->revision}});
+    metrics_.configuration_revision.set(static_cast<std::int64_t>(view->revision));
+    ownership_.set_revision(view->revision);
+    engine_.set_fleet(view);
+    agents_.send_to_others({}, fleet_.push());
+}
+
+void entry_daemon::schedule_tick() {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(asio::bind_executor(control_, [this](asio::error_code error) {
+        if (error)
+            return;
+        tick();
+        schedule_tick();
+    }));
+}
+
+void entry_daemon::tick() {
+    perform(ownership_.tick(clock_.now()));
+    for (const incarnation& lost : agents_.take_lost()) {
+        log_event(log_level::warn, component, "agent lost", {{"agent", lost.name}});
+        engine_.agent_gone(lost);
+    }
+    engine_.tick();
+    desk_.tick();
+    left_ = ownership_.left();
+    ready_ = !ownership_.table().partitions.empty() && fleet_.revision() > 0;
+    write_gauges();
+}
+
+void entry_daemon::write_gauges() {
+    metrics_.waiting_tasks.set(static_cast<std::int64_t>(engine_.waiting_tasks()));
+}
+
+bool entry_daemon::in_force() const {
+    if (!engine_.has_lease())
+        return false;
+    const std::vector<std::string>& grantors = ownership_.table().grantors;
+    std::size_t current = 0;
+    for (const agent_status& agent : agents_.statuses()) {
+        const bool grants = std::find(grantors.begin(), grantors.end(), agent.agent.name) != grantors.end();
+        if (grants && agent.revision >= fleet_.revision())
+            ++current;
+    }
+    return 2 * current > grantors.size();
+}
+
+entry_status entry_daemon::status() {
+    std::promise<entry_status> promise;
+    asio::post(control_, [this, &promise] {
+        entry_status status;
+        const owner_table& table = ownership_.table();
+        status.name = self_.name;
+        status.revision = fleet_.revision();
+        status.version = table.version;
+        status.in_force = in_force();
+        status.draining = draining_;
+        status.active_jobs = engine_.active_jobs();
+        status.waiting_tasks = engine_.waiting_tasks();
+        status.agents = agents_.statuses();
+        for (partition_id p = 0; p < table.partitions.size(); ++p) {
+            if (ownership_.owns(p, clock_.now()))
+                ++status.partitions;
+        }
+        promise.set_value(std::move(status));
+    });
+    return promise.get_future().get();
+}
+
+} // namespace persimmonstile
--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -56,6 +56,8 @@
     // On the control strand.
     void agent_status_received(const agent_status& status,
                                const std::shared_ptr<frame_connection>& connection);
+    void view_ping_received(const view_ping& ping, const incarnation& agent,
+                            const std::shared_ptr<frame_connection>& connection);
     void agent_control_received(const control_message& message,
                                 const std::shared_ptr<frame_connection>& connection);
     void perform(const ownership_actions& actions);
--- /dev/null
+++ b/daemon/fleet_holder.cpp
@@ -0,0 +1,42 @@
+#include "daemon/fleet_holder.h"
+
+#include "protocol/fleet_document.h"
+#include "transport/logging.h"
+
+#include <utility>
+
+namespace persimmonstile {
+
+std::shared_ptr<const fleet_view> fleet_holder::offer(const std::string& content) {
+    auto decoded = decode_fleet_document(content);
+    if (const auto* problems = std::get_if<findings>(&decoded)) {
+        for (const finding& problem : *problems)
+            log_event(log_level::error, "configuration", "received document is not valid",
+                      {{"finding", to_text(problem)}});
+        return nullptr;
+    }
+    auto view = std::make_shared<const fleet_view>(std::move(std::get<fleet_view>(decoded)));
+    const std::lock_guard lock{mutex_};
+    if (view_ && view->revision <= view_->revision)
+        return nullptr;
+    view_ = view;
+    content_ = content;
+    return view;
+}
+
+std::shared_ptr<const fleet_view> fleet_holder::view() const {
+    const std::lock_guard lock{mutex_};
+    return view_;
+}
+
+config_revision fleet_holder::revision() const {
+    const std::lock_guard lock{mutex_};
+    return view_ ? view_->revision : 0;
+}
+
+config_push fleet_holder::push() const {
+    const std::lock_guard lock{mutex_};
+    return {view_ ? view_->revision : 0, content_};
+}
+
+} // namespace persimmonstile
--- a/daemon/fleet_holder.h
+++ b/daemon/fleet_holder.h
@@ -14,7 +14,7 @@
 class fleet_holder {
 public:
     // The decoded view if the document is valid and newer than the present one, nullptr otherwise.
-    std::shared_ptr<const fleet_view> offer(config_revision revision, const std::string& content);
+    std::shared_ptr<const fleet_view> offer(const std::string& content);
 
     std::shared_ptr<const fleet_view> view() const;
     config_revision revision() const;
--- a/daemon/peer_session.h
+++ b/daemon/peer_session.h
@@ -15,6 +15,7 @@
     std::shared_ptr<frame_connection> connection;
     control_decoder decoder;
     std::optional<incarnation> entry;
+    std::optional<incarnation> agent;
     // Dialed address, empty for accepted connections.
     std::string address;
 };
--- a/daemon/store_worker.cpp
+++ b/daemon/store_worker.cpp
@@ -1,5 +1,6 @@
 #include "daemon/store_worker.h"
 
+#include "coordination/key_value_store.h"
 #include "protocol/owner_table_json.h"
 #include "transport/logging.h"
 
@@ -57,7 +58,7 @@
         table_read_result result;
         const get_result answer = store_.get(owner_table_key(cell_));
         if (const auto* value = std::get_if<stored_value>(&answer)) {
-            auto decoded = owner_table_from_json(value->value);
+            auto decoded = decode_owner_table(value->value);
             result.mod_revision = static_cast<std::int64_t>(value->mod_revision);
             if (auto* table = std::get_if<owner_table>(&decoded)) {
                 result.available = true;
@@ -81,7 +82,7 @@
     const std::lock_guard lock{mutex_};
     calls_.emplace_back([this, write, on_result = std::move(on_result)] {
         const swap_result answer =
-            store_.compare_and_swap(owner_table_key(cell_), owner_table_to_json(write.table),
+            store_.compare_and_swap(owner_table_key(cell_), encode_owner_table(write.table),
                                     static_cast<store_revision>(write.expected_mod));
         if (std::holds_alternative<store_written>(answer))
             on_result(table_write_result::committed);
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -125,6 +125,8 @@
     stop();
 }
 
+std::size_t http_server::open_requests() const { return implementation_->open_requests(); }
+
 void http_server::stop() {
     implementation_->stop();
 }
