--- /dev/null
+++ b/coordination/grantor.cpp
@@ -0,0 +1,185 @@
+#include "coordination/grantor.h"
+
+#include "coordination/grant_set.h"
+#include "state/limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+grantor::grantor(incarnation self, time_point now)
+    : self_{std::move(self)}
+    , last_request_at_{now} {}
+
+grant_reply grantor::request(const grant_request& request, config_revision own_revision, time_point now) {
+    finish_wait(now);
+    note_heard(request.owner, now);
+    grant_reply reply;
+    reply.grantor = self_;
+    reply.sequence = request.sequence;
+    reply.recovering = recovering_;
+    reply.version = table_.version;
+    if (recovering_)
+        return reply;
+    reply.granted = request.version >= table_.version && request.revision >= own_revision;
+    for (const incarnation& agent : request.new_agents)
+        record(agent, now);
+    drop_replaced_records(now);
+    reply.recorded = request.new_agents;
+    reply.silent_owners = silent_owners(now);
+    return reply;
+}
+
+table_ack grantor::push(const owner_table& table, time_point now) {
+    finish_wait(now);
+    adopt(table, now);
+    if (table.grantors.empty())
+        start_without_recovery(table);
+    table_ack ack;
+    ack.grantor = self_;
+    ack.version = table_.version;
+    ack.recovering = recovering_;
+    ack.recorded = recorded_agents();
+    return ack;
+}
+
+std::optional<recovery_request> grantor::recovery_due(time_point now) {
+    finish_wait(now);
+    if (!recovering_ || !is_named() || grants_from_)
+        return std::nullopt;
+    if (asked_at_ && now - *asked_at_ < grant_renewal_interval)
+        return std::nullopt;
+    asked_at_ = now;
+    return recovery_request{self_, nonce_};
+}
+
+std::optional<recovery_reply> grantor::answer(const recovery_request& request) const {
+    if (recovering_)
+        return std::nullopt;
+    return recovery_reply{request.asker, request.nonce, self_, table_, recorded_agents()};
+}
+
+void grantor::recovered(const recovery_reply& reply, time_point now) {
+    if (!recovering_ || reply.asker != self_ || reply.nonce != nonce_ || reply.grantor.name == self_.name)
+        return;
+    for (const incarnation& agent : reply.recorded)
+        record(agent, now);
+    // The answer is counted under the table it names, because adopting a table without this grantor starts
+    // the recovery afresh.
+    adopt(reply.table, now);
+    if (reply.nonce == nonce_)
+        answered_.insert(reply.grantor.name);
+    check_answers(now);
+}
+
+epoch_number grantor::epoch_of(partition_id partition) const {
+    return partition < table_.partitions.size() ? table_.partitions[partition].epoch : 0;
+}
+
+bool grantor::is_named() const {
+    return contains(table_.grantors, self_.name);
+}
+
+void grantor::adopt(const owner_table& table, time_point now) {
+    if (table.version <= table_.version)
+        return;
+    table_ = table;
+    std::erase_if(heard_at_, [&](const auto& heard) { return !has_entry(table_, heard.first); });
+    for (const entry_address& entry : table_.entries)
+        heard_at_.try_emplace(entry.entry, now);
+    const bool follows_assured = assured_version_ && table_.version == *assured_version_ + 1;
+    assured_version_.reset();
+    if (!is_named())
+        start_recovery();
+    else if (follows_assured)
+        recovering_ = false;
+    else
+        check_answers(now);
+}
+
+// A grantor that is not named misses what the named ones record, so it recovers when it is named again.
+void grantor::start_recovery() {
+    recovering_ = true;
+    ++nonce_;
+    answered_.clear();
+    grants_from_.reset();
+}
+
+void grantor::start_without_recovery(const owner_table& table) {
+    if (!recovering_)
+        return;
+    if (table.version == table_.version)
+        assured_version_ = table.version;
+    // The assurance was overtaken by the first table after it.
+    else if (table.version + 1 == table_.version && is_named())
+        recovering_ = false;
+}
+
+// A majority of the whole set is asked, not only of the other members: with an even number of grantors the
+// smaller group could miss the majority that acknowledged a table with one grantor more.
+void grantor::check_answers(time_point now) {
+    if (!recovering_)
+        return;
+    const auto answered = [&](const std::string& name) {
+        return name != self_.name && answered_.contains(name);
+    };
+    if (!is_named() || !majority_satisfies(table_.grantors, answered))
+        grants_from_.reset();
+    else if (!grants_from_)
+        grants_from_ = now + grant_period;
+}
+
+void grantor::finish_wait(time_point now) {
+    if (!grants_from_ || now < *grants_from_)
+        return;
+    grants_from_.reset();
+    recovering_ = false;
+}
+
+// The incarnation listed last counts as the live one. Entries list live agents again at intervals, so a late
+// message about an earlier incarnation cannot make this grantor forget a live one.
+void grantor::record(const incarnation& agent, time_point now) {
+    records_[agent] = std::nullopt;
+    for (auto& [other, replaced_at] : records_) {
+        if (other.name == agent.name && other != agent && !replaced_at)
+            replaced_at = now;
+    }
+}
+
+void grantor::drop_replaced_records(time_point now) {
+    std::erase_if(records_, [&](const auto& entry) {
+        return entry.second && now - *entry.second >= deduplication_window;
+    });
+}
+
+// Without any request for the silence limit this process was itself paused or cut off, and its queue may
+// still hold requests of every owner. Silence is then counted from now on.
+void grantor::note_heard(const incarnation& owner, time_point now) {
+    if (now - last_request_at_ > owner_silence_limit) {
+        for (auto& [entry, heard_at] : heard_at_)
+            heard_at = now;
+    }
+    last_request_at_ = now;
+    heard_at_[owner] = now;
+}
+
+std::vector<incarnation> grantor::recorded_agents() const {
+    std::vector<incarnation> agents;
+    agents.reserve(records_.size());
+    for (const auto& [agent, replaced_at] : records_)
+        agents.push_back(agent);
+    return agents;
+}
+
+std::vector<incarnation> grantor::silent_owners(time_point now) const {
+    std::vector<incarnation> silent;
+    for (const entry_address& entry : table_.entries) {
+        const auto heard = heard_at_.find(entry.entry);
+        if (heard != heard_at_.end() && now - heard->second > owner_silence_limit)
+            silent.push_back(entry.entry);
+    }
+    return silent;
+}
+
+} // namespace persimmonstile
--- a/coordination/grantor.h
+++ b/coordination/grantor.h
@@ -8,6 +8,7 @@
 #include "state/table_ack.h"
 #include "state/time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,22 +28,49 @@
     // revision than own_revision is refused.
     grant_reply request(const grant_request& request, config_revision own_revision, time_point now);
 
-    // Adopts a newer table and acknowledges the newest one that it knows.
+    // Adopts a newer table and acknowledges the newest one that it knows. A table without grantors is the
+    // sender's assurance that the store held nothing newer when it was read after this incarnation
+    // connected; only that lets a grantor start without recovery.
     table_ack push(const owner_table& table, time_point now);
 
     // The question to send to all connected entries while recovering, at most once a renewal interval.
     std::optional<recovery_request> recovery_due(time_point now);
-    // An answer to another grantor; nullopt while this one recovers itself.
+    // An answer to another grantor or to a new owner; nullopt while this one recovers itself.
     std::optional<recovery_reply> answer(const recovery_request& request) const;
     void recovered(const recovery_reply& reply, time_point now);
 
-    bool is_recovering() const;
+    // True until this grantor may grant, also while the table does not name it.
+    bool is_recovering() const { return recovering_; }
     const owner_table& table() const { return table_; }
     // Epoch of the partition in the acknowledged table, 0 if none is known.
     epoch_number epoch_of(partition_id partition) const;
 
 private:
+    bool is_named() const;
+    void adopt(const owner_table& table, time_point now);
+    void start_recovery();
+    void start_without_recovery(const owner_table& table);
+    void check_answers(time_point now);
+    void finish_wait(time_point now);
+    void note_heard(const incarnation& owner, time_point now);
+    void record(const incarnation& agent, time_point now);
+    void drop_replaced_records(time_point now);
+    std::vector<incarnation> recorded_agents() const;
+    std::vector<incarnation> silent_owners(time_point now) const;
+
+    incarnation self_;
     owner_table table_;
+    bool recovering_ = true;
+    // Version of the table without grantors that was assured, until the next table arrives.
+    std::optional<table_version> assured_version_;
+    std::uint64_t nonce_ = 1;
+    std::set<std::string> answered_;
+    std::optional<time_point> asked_at_;
+    std::optional<time_point> grants_from_;
+    std::map<incarnation, time_point> heard_at_;
+    time_point last_request_at_;
+    // Recorded agent incarnations, each with the time when another one of the same name was recorded.
+    std::map<incarnation, std::optional<time_point>> records_;
 };
 
 } // namespace persimmonstile
--- /dev/null
+++ b/coordination/ownership.cpp
@@ -0,0 +1,631 @@
+#include "coordination/ownership.h"
+
+#include "coordination/grant_set.h"
+#include "coordination/ownership_limits.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+std::uint64_t seed_of(const incarnation& self) {
+    return std::hash<std::string>{}(self.name) ^ self.number;
+}
+
+} // namespace
+
+ownership::ownership(incarnation self, std::string address, std::size_t minimum_grantors)
+    : self_{std::move(self)}
+    , address_{std::move(address)}
+    , minimum_grantors_{std::max<std::size_t>(minimum_grantors, 1)}
+    , pacer_{seed_of(self_)} {}
+
+// --- events ---
+
+ownership_actions ownership::table_read(const std::optional<owner_table>& table, std::int64_t mod_revision,
+                                        time_point now) {
+    ownership_actions actions;
+    pacer_.succeeded();
+    const auto asked_at = std::exchange(read_asked_at_, std::nullopt);
+    const std::string unresolved = std::exchange(unresolved_operation_, {});
+    const table_version found = table ? table->version : 0;
+    if (!unresolved.empty() && found > table_.version && table->operation_id != unresolved)
+        pacer_.lost_race(now);
+    if (asked_at && found >= table_.version && (!table || table->grantors.empty()))
+        assurance_ = assurance{*asked_at, found};
+    if (table)
+        adopt(*table, now, actions);
+    if (found == table_.version)
+        mod_revision_ = mod_revision;
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::table_unavailable(time_point now) {
+    ownership_actions actions;
+    read_asked_at_.reset();
+    pacer_.failed(now);
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::table_written(table_write_result result, time_point now) {
+    ownership_actions actions;
+    const auto written = std::exchange(writing_, std::nullopt);
+    mod_revision_.reset();
+    if (result == table_write_result::committed) {
+        pacer_.succeeded();
+        if (written)
+            adopt(*written, now, actions);
+    } else if (result == table_write_result::lost_race) {
+        pacer_.lost_race(now);
+    } else {
+        pacer_.failed(now);
+        unresolved_operation_ = written ? written->operation_id : std::string{};
+    }
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::table_received(const owner_table& table, time_point now) {
+    ownership_actions actions;
+    adopt(table, now, actions);
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::agent_connected(const incarnation& agent, time_point now) {
+    ownership_actions actions;
+    agent_state& state = agents_[agent.name];
+    if (state.id != agent) {
+        // A lease of the earlier incarnation stays valid: a new owner waits for grants that were given
+        // before its table was acknowledged, whatever became of their grantors.
+        const auto lease_until = state.lease_until;
+        state = agent_state{};
+        state.id = agent;
+        state.first_connected_at = now;
+        state.lease_until = lease_until;
+    }
+    state.connected = true;
+    state.changed_at = now;
+    push_table(state, actions);
+    renew_at_ = now;
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::agent_disconnected(const incarnation& agent, time_point now) {
+    ownership_actions actions;
+    agent_state* state = find_agent(agent);
+    if (state != nullptr && state->connected) {
+        state->connected = false;
+        state->changed_at = now;
+    }
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::grant_replied(const grant_reply& reply, time_point now) {
+    ownership_actions actions;
+    agent_state* grantor = find_agent(reply.grantor);
+    const auto sent = sent_at_.find(reply.sequence);
+    if (grantor == nullptr || sent == sent_at_.end() || reply.sequence <= grantor->last_sequence)
+        return actions;
+    grantor->last_sequence = reply.sequence;
+    grantor->answered = sent->second;
+    grantor->recovering = reply.recovering;
+    grantor->silent = reply.silent_owners;
+    grantor->known = std::max(grantor->known, reply.version);
+    if (!reply.recovering)
+        grantor->acknowledged = std::max(grantor->acknowledged, reply.version);
+    if (reply.granted)
+        grantor->lease_until = sent->second + grant_period;
+    note_records(reply, sent->second, now);
+    exchange_tables(*grantor, reply.version, now, actions);
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::table_acknowledged(const table_ack& ack, time_point now) {
+    ownership_actions actions;
+    agent_state* grantor = find_agent(ack.grantor);
+    if (grantor == nullptr)
+        return actions;
+    grantor->known = std::max(grantor->known, ack.version);
+    if (!ack.recovering)
+        grantor->acknowledged = std::max(grantor->acknowledged, ack.version);
+    if (table_.grantors.empty() && ack.version == table_.version && is_assured(*grantor))
+        grantor->accepts_first_table = true;
+    advance(now, actions);
+    return actions;
+}
+
+ownership_actions ownership::records_replied(const recovery_reply& reply, time_point now) {
+    ownership_actions actions;
+    if (reply.asker != self_)
+        return actions;
+    for (takeover& pending : takeovers_)
+        pending.confirmed(reply.nonce, reply.grantor, reply.table.version, reply.recorded);
+    adopt(reply.table, now, actions);
+    advance(now, actions);
+    return actions;
+}
+
+void ownership::set_revision(config_revision revision) {
+    revision_ = std::max(revision_, revision);
+}
+
+ownership_actions ownership::leave(time_point now) {
+    ownership_actions actions;
+    leaving_ = true;
+    change_at_ = now;
+    advance(now, actions);
+    return actions;
+}
+
+bool ownership::left() const {
+    const bool undecided = writing_ || !unresolved_operation_.empty();
+    return leaving_ && !undecided && (!is_member() || alone_);
+}
+
+ownership_actions ownership::tick(time_point now) {
+    ownership_actions actions;
+    advance(now, actions);
+    return actions;
+}
+
+// --- queries ---
+
+std::chrono::nanoseconds ownership::lease_left(time_point now) const {
+    std::vector<time_point> ends;
+    for (const std::string& name : table_.grantors) {
+        const agent_state* grantor = find_grantor(name);
+        if (grantor != nullptr && grantor->lease_until && *grantor->lease_until > now)
+            ends.push_back(*grantor->lease_until);
+    }
+    const std::size_t needed = majority_of(table_.grantors.size());
+    if (ends.size() < needed)
+        return std::chrono::nanoseconds{0};
+    std::sort(ends.begin(), ends.end(), std::greater<>{});
+    return ends[needed - 1] - now;
+}
+
+bool ownership::owns(partition_id partition, time_point now) const {
+    return active_.contains(partition) && lease_left(now).count() > 0;
+}
+
+bool ownership::is_recorded(const incarnation& agent) const {
+    const agent_state* state = find_grantor(agent.name);
+    return state != nullptr && state->id == agent && state->recorded;
+}
+
+bool ownership::is_member() const {
+    return has_entry(table_, self_);
+}
+
+bool ownership::is_silent(const incarnation& entry, time_point now) const {
+    return majority_satisfies(table_.grantors, [&](const std::string& name) {
+        const agent_state* grantor = find_grantor(name);
+        return grantor != nullptr && grantor->answered &&
+               now - *grantor->answered <= silence_report_lifetime &&
+               std::find(grantor->silent.begin(), grantor->silent.end(), entry) != grantor->silent.end();
+    });
+}
+
+bool ownership::has_other_entry(time_point now) const {
+    return std::any_of(table_.entries.begin(), table_.entries.end(), [&](const entry_address& entry) {
+        return entry.entry.name != self_.name && !is_silent(entry.entry, now);
+    });
+}
+
+bool ownership::majority_acknowledged() const {
+    return majority_satisfies(table_.grantors, [&](const std::string& name) {
+        const agent_state* grantor = find_grantor(name);
+        return grantor != nullptr && grantor->connected && grantor->acknowledged >= table_.version;
+    });
+}
+
+ownership::agent_state* ownership::find_agent(const incarnation& agent) {
+    const auto found = agents_.find(agent.name);
+    return found != agents_.end() && found->second.id == agent ? &found->second : nullptr;
+}
+
+const ownership::agent_state* ownership::find_grantor(const std::string& name) const {
+    const auto found = agents_.find(name);
+    return found != agents_.end() ? &found->second : nullptr;
+}
+
+// --- tables and takeovers ---
+
+void ownership::adopt(const owner_table& table, time_point now, ownership_actions& actions) {
+    if (table.version <= table_.version)
+        return;
+    const owner_table previous = std::exchange(table_, table);
+    mod_revision_.reset();
+    change_at_.reset();
+    actions.table_changed = true;
+    note_other_incarnations();
+    const auto own = own_partitions();
+    for (auto active = active_.begin(); active != active_.end();) {
+        const auto found = own.find(active->first);
+        if (found != own.end() && found->second == active->second) {
+            ++active;
+            continue;
+        }
+        actions.lost.push_back(active->first);
+        active = active_.erase(active);
+    }
+    start_takeover(previous, own);
+    for (const std::string& name : table_.grantors) {
+        const auto [state, added] = agents_.try_emplace(name);
+        if (added)
+            state->second.changed_at = now;
+    }
+    for (const auto& [name, agent] : agents_) {
+        if (agent.connected)
+            push_table(agent, actions);
+    }
+    renew_at_ = now;
+}
+
+std::map<partition_id, epoch_number> ownership::own_partitions() const {
+    std::map<partition_id, epoch_number> own;
+    for (std::size_t i = 0; i < table_.partitions.size(); ++i) {
+        if (table_.partitions[i].owner == self_)
+            own[static_cast<partition_id>(i)] = table_.partitions[i].epoch;
+    }
+    return own;
+}
+
+// A takeover that is under way continues across later versions for the partitions that they leave alone.
+void ownership::start_takeover(const owner_table& previous, const std::map<partition_id, epoch_number>& own) {
+    std::map<partition_id, epoch_number> gained = own;
+    for (const auto& [partition, epoch] : active_)
+        gained.erase(partition);
+    for (takeover& pending : takeovers_) {
+        pending.keep_only(own);
+        for (const auto& [partition, epoch] : pending.partitions())
+            gained.erase(partition);
+    }
+    std::erase_if(takeovers_, [](const takeover& pending) { return pending.partitions().empty(); });
+    if (gained.empty() && !own.contains(0))
+        return;
+    std::vector<std::vector<std::string>> sets{table_.grantors};
+    // Sets further back need no majority of their own, because each change of the set is proposed only after
+    // a majority confirmed the version before it.
+    const bool follows = previous.version + 1 == table_.version && !previous.grantors.empty();
+    if (follows && previous.grantors != table_.grantors)
+        sets.push_back(previous.grantors);
+    takeovers_.emplace_back(table_.version, std::move(sets), std::move(gained));
+}
+
+// Incarnations of this entry's name in the first table that it sees ran before it. One that appears later
+// has replaced it.
+void ownership::note_other_incarnations() {
+    for (const entry_address& known : table_.entries) {
+        if (known.entry.name != self_.name || known.entry == self_)
+            continue;
+        if (!has_seen_table_)
+            predecessors_.insert(known.entry);
+        else if (!predecessors_.contains(known.entry))
+            replaced_ = true;
+    }
+    has_seen_table_ = true;
+}
+
+void ownership::advance(time_point now, ownership_actions& actions) {
+    alone_ = !has_other_entry(now);
+    advance_takeovers(now, actions);
+    propose(now, actions);
+    renew_grants(now, actions);
+}
+
+void ownership::advance_takeovers(time_point now, ownership_actions& actions) {
+    for (takeover& pending : takeovers_) {
+        const auto acknowledged = [&](const std::string& name) -> std::optional<incarnation> {
+            const agent_state* grantor = find_grantor(name);
+            if (grantor == nullptr || !grantor->connected || grantor->acknowledged < pending.version())
+                return std::nullopt;
+            return grantor->id;
+        };
+        if (!pending.is_complete()) {
+            for (const incarnation& grantor : pending.advance(acknowledged, now))
+                actions.sends.push_back({grantor, recovery_request{self_, pending.nonce()}});
+            continue;
+        }
+        for (partition_gain& gain : pending.gains()) {
+            active_[gain.partition] = gain.epoch;
+            actions.gained.push_back(std::move(gain));
+        }
+        settled_version_ = std::max(settled_version_, pending.version());
+    }
+    std::erase_if(takeovers_, [](const takeover& pending) { return pending.is_complete(); });
+}
+
+// --- grants and records ---
+
+void ownership::renew_grants(time_point now, ownership_actions& actions) {
+    if (table_.grantors.empty() || (renew_at_ && now < *renew_at_))
+        return;
+    renew_at_ = now + grant_renewal_interval;
+    const bool refresh = !refreshed_at_ || now - *refreshed_at_ >= record_refresh_interval;
+    if (refresh)
+        refreshed_at_ = now;
+    grant_request request;
+    request.owner = self_;
+    request.version = table_.version;
+    request.revision = revision_;
+    request.sequence = ++sequence_;
+    request.new_agents = agents_to_record(refresh);
+    // Answers after the grant period could only give leases that have lapsed.
+    std::erase_if(sent_at_, [&](const auto& sent) { return now - sent.second >= grant_period; });
+    sent_at_[sequence_] = now;
+    for (const std::string& name : table_.grantors) {
+        const agent_state* grantor = find_grantor(name);
+        if (grantor != nullptr && grantor->connected)
+            actions.sends.push_back({grantor->id, request});
+    }
+    for (const auto& [name, agent] : agents_) {
+        if (agent.connected && agent.known < table_.version && !contains(table_.grantors, name))
+            push_table(agent, actions);
+    }
+}
+
+std::vector<incarnation> ownership::agents_to_record(bool refresh) const {
+    std::vector<incarnation> agents;
+    for (const auto& [name, agent] : agents_) {
+        if (agent.connected && (refresh || !agent.recorded))
+            agents.push_back(agent.id);
+    }
+    return agents;
+}
+
+void ownership::note_records(const grant_reply& reply, time_point sent, time_point now) {
+    for (const incarnation& recorded : reply.recorded) {
+        agent_state* agent = find_agent(recorded);
+        if (agent == nullptr || agent->recorded)
+            continue;
+        const auto [confirmation, added] =
+            agent->confirmations.try_emplace(reply.grantor, record_confirmation{now, sent});
+        if (!added)
+            confirmation->second.last_sent = std::max(confirmation->second.last_sent, sent);
+        agent->recorded = is_confirmed(*agent);
+        if (agent->recorded)
+            agent->confirmations.clear();
+    }
+}
+
+// A majority has to hold the record at one common instant: a grantor that restarts before the majority is
+// complete may have recovered without it.
+bool ownership::is_confirmed(const agent_state& agent) const {
+    std::vector<record_confirmation> current;
+    for (const std::string& name : table_.grantors) {
+        const agent_state* grantor = find_grantor(name);
+        const auto found =
+            grantor == nullptr ? agent.confirmations.end() : agent.confirmations.find(grantor->id);
+        if (found != agent.confirmations.end())
+            current.push_back(found->second);
+    }
+    return std::any_of(current.begin(), current.end(), [&](const record_confirmation& instant) {
+        const auto holding = std::count_if(current.begin(), current.end(), [&](const auto& other) {
+            return other.first_received <= instant.first_received &&
+                   other.last_sent >= instant.first_received;
+        });
+        return static_cast<std::size_t>(holding) >= majority_of(table_.grantors.size());
+    });
+}
+
+void ownership::exchange_tables(const agent_state& agent, table_version known, time_point now,
+                                ownership_actions& actions) {
+    if (known < table_.version || (agent.recovering && !agent.acknowledged)) {
+        if (assurance_ && is_assured(agent) && assurance_->version + 1 == table_.version) {
+            owner_table base;
+            base.version = assurance_->version;
+            actions.sends.push_back({agent.id, table_push{std::move(base)}});
+        }
+        if (known < table_.version)
+            push_table(agent, actions);
+    }
+    const bool asked = asked_for_table_at_ && now - *asked_for_table_at_ < grant_renewal_interval / 2;
+    if (known > table_.version && !asked) {
+        asked_for_table_at_ = now;
+        actions.sends.push_back({agent.id, content_request{table_.version, revision_}});
+    }
+}
+
+void ownership::push_table(const agent_state& agent, ownership_actions& actions) const {
+    // A table without grantors is an assurance about the store, so only a recent read permits it.
+    if (table_.grantors.empty() && !is_assured(agent))
+        return;
+    actions.sends.push_back({agent.id, table_push{table_}});
+}
+
+// --- table changes ---
+
+void ownership::propose(time_point now, ownership_actions& actions) {
+    if (read_asked_at_ || writing_ || replaced_)
+        return;
+    if (!unresolved_operation_.empty())
+        read(now, actions);
+    else if (table_.grantors.empty())
+        propose_first_table(now, actions);
+    else
+        propose_change(now, actions);
+}
+
+void ownership::read(time_point now, ownership_actions& actions) {
+    if (!pacer_.may_call(now))
+        return;
+    pacer_.called(now);
+    read_asked_at_ = now;
+    actions.read_table = true;
+}
+
+void ownership::write(owner_table table, time_point now, ownership_actions& actions) {
+    if (!pacer_.may_call(now))
+        return;
+    pacer_.called(now);
+    table.writer = self_.name;
+    table.operation_id =
+        self_.name + "-" + std::to_string(self_.number) + "-" + std::to_string(++operations_);
+    writing_ = table;
+    actions.write = table_write{std::move(table), *mod_revision_};
+}
+
+void ownership::propose_first_table(time_point now, ownership_actions& actions) {
+    const bool is_recent = assurance_ && assurance_->version == table_.version && mod_revision_ &&
+                           now - assurance_->asked_at < bootstrap_poll_interval;
+    const bool has_enough = !leaving_ && is_quiet(now) && connected_agents() >= minimum_grantors_;
+    const auto is_unassured = [&](const auto& agent) {
+        return agent.second.connected && !is_assured(agent.second);
+    };
+    if (!is_recent || (has_enough && std::any_of(agents_.begin(), agents_.end(), is_unassured))) {
+        read(now, actions);
+        return;
+    }
+    if (!has_enough)
+        return;
+    const std::vector<std::string> grantors = first_grantors();
+    const bool waits_for_more =
+        accepting_agents() < connected_agents() && now - assurance_->asked_at < bootstrap_quiet_time;
+    if (grantors.size() >= minimum_grantors_ && !waits_for_more) {
+        write(first_table(table_, {self_, address_}, grantors), now, actions);
+        return;
+    }
+    if (assured_at_ && now - *assured_at_ < grant_renewal_interval)
+        return;
+    assured_at_ = now;
+    for (const auto& [name, agent] : agents_) {
+        if (agent.connected)
+            push_table(agent, actions);
+    }
+}
+
+void ownership::propose_change(time_point now, ownership_actions& actions) {
+    const entry_change entries = majority_acknowledged() ? plan_entries(now) : entry_change{};
+    const auto grantors = entries.empty() ? plan_grantors(now) : std::nullopt;
+    if (entries.empty() && !grantors) {
+        change_at_.reset();
+        return;
+    }
+    if (!change_at_)
+        change_at_ = leaving_ ? now : now + pacer_.jitter(change_jitter);
+    if (now < *change_at_)
+        return;
+    if (!mod_revision_)
+        read(now, actions);
+    else if (!entries.empty())
+        write(with_entries_changed(table_, entries), now, actions);
+    else if (grantors->added)
+        write(with_grantor_added(table_, grantors->name), now, actions);
+    else
+        write(with_grantor_removed(table_, grantors->name), now, actions);
+}
+
+entry_change ownership::plan_entries(time_point now) const {
+    entry_change change;
+    const bool member = is_member();
+    if (leaving_ && (!member || alone_))
+        return change;
+    for (const entry_address& known : table_.entries) {
+        const bool is_self = known.entry == self_;
+        const bool is_predecessor = !is_self && known.entry.name == self_.name;
+        if (is_self ? leaving_ : is_predecessor || is_silent(known.entry, now))
+            change.removed.insert(known.entry);
+    }
+    if (!member)
+        change.joined = entry_address{self_, address_};
+    return change;
+}
+
+// One entry proposes changes of the grantor set, and only on a version that a majority has confirmed, so that
+// older sets never matter to a later owner.
+std::optional<ownership::grantor_change> ownership::plan_grantors(time_point now) const {
+    if (leaving_ || !owns(0, now) || settled_version_ != table_.version)
+        return std::nullopt;
+    const std::size_t size = table_.grantors.size();
+    const auto healthy = static_cast<std::size_t>(
+        std::count_if(table_.grantors.begin(), table_.grantors.end(),
+                      [&](const std::string& name) { return is_healthy(name, now); }));
+    const auto absent = absent_grantor(now);
+    const auto spares = spare_agents(now);
+    const bool may_shrink = size > minimum_grantors_ || !spares.empty();
+    if (absent && size > 1 && may_shrink && healthy >= majority_of(size - 1))
+        return grantor_change{*absent, false};
+    // An even number tolerates no more failures than the odd number below it, so it is only a step.
+    const std::size_t needed_spares = size % 2 == 0 ? 1 : 2;
+    // A new grantor recovers first. Until then the others have to be a majority, except that a single
+    // grantor could never get company otherwise.
+    const bool keeps_majority = healthy >= majority_of(size + 1) || size == 1;
+    if (size < maximum_grantors && spares.size() >= needed_spares && keeps_majority)
+        return grantor_change{spares.front(), true};
+    return std::nullopt;
+}
+
+std::optional<std::string> ownership::absent_grantor(time_point now) const {
+    for (const std::string& name : table_.grantors) {
+        const agent_state* grantor = find_grantor(name);
+        if (grantor != nullptr && !grantor->connected && now - grantor->changed_at >= grantor_absence_limit)
+            return name;
+    }
+    return std::nullopt;
+}
+
+// A spare has to know the table without itself: it then recovers when it is named, and gets the records that
+// it missed.
+std::vector<std::string> ownership::spare_agents(time_point now) const {
+    std::vector<std::string> spares;
+    for (const auto& [name, agent] : agents_) {
+        const bool is_stable = agent.connected && now - agent.changed_at >= bootstrap_quiet_time;
+        if (is_stable && agent.known >= table_.version && !contains(table_.grantors, name))
+            spares.push_back(name);
+    }
+    return spares;
+}
+
+std::vector<std::string> ownership::first_grantors() const {
+    std::vector<std::string> grantors;
+    for (const auto& [name, agent] : agents_) {
+        if (agent.connected && agent.accepts_first_table && grantors.size() < maximum_grantors)
+            grantors.push_back(name);
+    }
+    // An even number tolerates no more failures than the odd number below it.
+    if (grantors.size() % 2 == 0 && grantors.size() > minimum_grantors_)
+        grantors.pop_back();
+    return grantors;
+}
+
+std::size_t ownership::accepting_agents() const {
+    const auto count = std::count_if(agents_.begin(), agents_.end(), [](const auto& agent) {
+        return agent.second.connected && agent.second.accepts_first_table;
+    });
+    return static_cast<std::size_t>(count);
+}
+
+std::size_t ownership::connected_agents() const {
+    const auto count = std::count_if(agents_.begin(), agents_.end(),
+                                     [](const auto& agent) { return agent.second.connected; });
+    return static_cast<std::size_t>(count);
+}
+
+bool ownership::is_quiet(time_point now) const {
+    return std::all_of(agents_.begin(), agents_.end(), [&](const auto& agent) {
+        return !agent.second.connected || now - agent.second.changed_at >= bootstrap_quiet_time;
+    });
+}
+
+bool ownership::is_assured(const agent_state& agent) const {
+    return assurance_ && agent.first_connected_at <= assurance_->asked_at;
+}
+
+bool ownership::is_healthy(const std::string& name, time_point now) const {
+    const agent_state* grantor = find_grantor(name);
+    return grantor != nullptr && grantor->connected && !grantor->recovering &&
+           grantor->acknowledged >= table_.version && grantor->answered &&
+           now - *grantor->answered <= silence_report_lifetime;
+}
+
+} // namespace persimmonstile
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "coordination/ownership_actions.h"
+#include "coordination/store_pacer.h"
+#include "coordination/table_change.h"
+#include "coordination/takeover.h"
 #include "state/grant_reply.h"
 #include "state/limits.h"
+#include "state/recovery_reply.h"
 #include "state/table_ack.h"
 #include "state/time.h"
 
@@ -28,7 +32,9 @@
     // the first entry waits for before it creates the table.
     ownership(incarnation self, std::string address, std::size_t minimum_grantors);
 
-    // The store's table, with its modification revision; nullopt if the key does not exist.
+    // The answer to a read_table action: the store's table, with its modification revision; nullopt if the
+    // key does not exist. Tables from a watch go to table_received, because only a read that was asked for
+    // is known to be recent.
     ownership_actions table_read(const std::optional<owner_table>& table, std::int64_t mod_revision,
                                  time_point now);
     // The store could not be read. Asked again after a backoff.
@@ -42,6 +48,8 @@
     ownership_actions agent_disconnected(const incarnation& agent, time_point now);
     ownership_actions grant_replied(const grant_reply& reply, time_point now);
     ownership_actions table_acknowledged(const table_ack& ack, time_point now);
+    // A reply whose asker is this entry. Others are passed on to their asker by the caller.
+    ownership_actions records_replied(const recovery_reply& reply, time_point now);
 
     // Sets the configuration revision that grant requests carry.
     void set_revision(config_revision revision);
@@ -59,10 +67,119 @@
     // True if this entry may act for the partition now.
     bool owns(partition_id partition, time_point now) const;
     bool is_recorded(const incarnation& agent) const;
+    // True after a later process of the same name has joined. This one stays out of the table for good.
+    bool is_replaced() const { return replaced_; }
     const owner_table& table() const { return table_; }
 
 private:
+    // When one grantor first confirmed that an agent is on record, and when the latest request that it
+    // confirmed was sent.
+    struct record_confirmation {
+        time_point first_received;
+        time_point last_sent;
+    };
+    struct agent_state {
+        incarnation id;
+        bool connected = false;
+        time_point first_connected_at;
+        // Time of the last connect or disconnect.
+        time_point changed_at;
+        // Newest version that this incarnation knows, and newest that it acknowledged while not recovering.
+        table_version known = 0;
+        table_version acknowledged = 0;
+        bool recovering = true;
+        std::uint64_t last_sequence = 0;
+        // Sending time of the latest request that was answered.
+        std::optional<time_point> answered;
+        std::optional<time_point> lease_until;
+        std::vector<incarnation> silent;
+        // It acknowledged the assurance that the store held no table with grantors.
+        bool accepts_first_table = false;
+        bool recorded = false;
+        std::map<incarnation, record_confirmation> confirmations;
+    };
+    struct grantor_change {
+        std::string name;
+        bool added = false;
+    };
+    // Outcome of the latest read that found no table, or one without grantors.
+    struct assurance {
+        time_point asked_at;
+        table_version version = 0;
+    };
+
+    void adopt(const owner_table& table, time_point now, ownership_actions& actions);
+    void start_takeover(const owner_table& previous, const std::map<partition_id, epoch_number>& own);
+    void note_other_incarnations();
+    std::map<partition_id, epoch_number> own_partitions() const;
+
+    void advance(time_point now, ownership_actions& actions);
+    void advance_takeovers(time_point now, ownership_actions& actions);
+    void renew_grants(time_point now, ownership_actions& actions);
+    std::vector<incarnation> agents_to_record(bool refresh) const;
+    void note_records(const grant_reply& reply, time_point sent, time_point now);
+    bool is_confirmed(const agent_state& agent) const;
+    void exchange_tables(const agent_state& agent, table_version known, time_point now,
+                         ownership_actions& actions);
+    void push_table(const agent_state& agent, ownership_actions& actions) const;
+    agent_state* find_agent(const incarnation& agent);
+    const agent_state* find_grantor(const std::string& name) const;
+
+    void propose(time_point now, ownership_actions& actions);
+    void propose_first_table(time_point now, ownership_actions& actions);
+    void propose_change(time_point now, ownership_actions& actions);
+    void read(time_point now, ownership_actions& actions);
+    void write(owner_table table, time_point now, ownership_actions& actions);
+    entry_change plan_entries(time_point now) const;
+    std::optional<grantor_change> plan_grantors(time_point now) const;
+    std::optional<std::string> absent_grantor(time_point now) const;
+    std::vector<std::string> spare_agents(time_point now) const;
+    std::vector<std::string> first_grantors() const;
+    std::size_t connected_agents() const;
+    std::size_t accepting_agents() const;
+    bool is_quiet(time_point now) const;
+    bool is_assured(const agent_state& agent) const;
+    bool is_healthy(const std::string& name, time_point now) const;
+    bool is_member() const;
+    bool is_silent(const incarnation& entry, time_point now) const;
+    bool has_other_entry(time_point now) const;
+    bool majority_acknowledged() const;
+
+    incarnation self_;
+    std::string address_;
+    std::size_t minimum_grantors_;
     owner_table table_;
+    config_revision revision_ = 0;
+
+    // Partitions that this entry may act for while it holds a majority of grants.
+    std::map<partition_id, epoch_number> active_;
+    std::vector<takeover> takeovers_;
+    table_version settled_version_ = 0;
+
+    std::map<std::string, agent_state> agents_;
+    std::uint64_t sequence_ = 0;
+    std::map<std::uint64_t, time_point> sent_at_;
+    std::optional<time_point> renew_at_;
+    std::optional<time_point> refreshed_at_;
+    std::optional<time_point> asked_for_table_at_;
+
+    store_pacer pacer_;
+    std::optional<time_point> change_at_;
+    std::optional<time_point> read_asked_at_;
+    std::optional<assurance> assurance_;
+    std::optional<time_point> assured_at_;
+    // Modification revision of table_ in the store, if it was read.
+    std::optional<std::int64_t> mod_revision_;
+    std::optional<owner_table> writing_;
+    // Operation id of a write whose answer was lost.
+    std::string unresolved_operation_;
+    std::uint64_t operations_ = 0;
+
+    bool leaving_ = false;
+    bool alone_ = false;
+    bool replaced_ = false;
+    bool has_seen_table_ = false;
+    std::set<incarnation> predecessors_;
 };
 
 } // namespace persimmonstile
--- /dev/null
+++ b/coordination/takeover.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "coordination/ownership_actions.h"
+#include "state/ids.h"
+#include "state/incarnation.h"
+#include "state/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// The steps between the adoption of a table version and the moment its new owner may act:
+// 1. a majority of the grantors acknowledges the version;
+// 2. one grant period and the clock rate margin pass, so that every older majority of grants has lapsed;
+// 3. the same incarnations confirm the version and send their records.
+// The third step shows that none of them restarted in between and forgot its acknowledgement. Its records
+// include agents that the old owner got recorded during the wait.
+class takeover {
+public:
+    // The connected incarnation of the grantor if it acknowledged the version, otherwise nullopt.
+    using acknowledged_by = std::function<std::optional<incarnation>(const std::string& grantor)>;
+
+    // A majority of each of the sets is needed. No wait follows if all epochs are 1, because no earlier
+    // owner existed.
+    takeover(table_version version, std::vector<std::vector<std::string>> grantor_sets,
+             std::map<partition_id, epoch_number> partitions);
+
+    // Notes new acknowledgements and returns the grantors to ask now for step 3, under nonce().
+    std::vector<incarnation> advance(const acknowledged_by& acknowledged, time_point now);
+    void confirmed(std::uint64_t nonce, const incarnation& grantor, table_version known_version,
+                   const std::vector<incarnation>& recorded);
+    bool is_complete() const;
+    std::vector<partition_gain> gains() const;
+
+    // Drops partitions that went to another owner or epoch.
+    void keep_only(const std::map<partition_id, epoch_number>& current);
+
+    table_version version() const { return version_; }
+    const std::map<partition_id, epoch_number>& partitions() const { return partitions_; }
+    // Changes with every group of grantors that is asked.
+    std::uint64_t nonce() const;
+
+private:
+    struct acknowledgement {
+        incarnation grantor;
+        time_point at;
+    };
+    using grantor_group = std::map<std::string, incarnation>;
+
+    void note_acknowledgements(const acknowledged_by& acknowledged, time_point now);
+    grantor_group ready_grantors(const acknowledged_by& acknowledged, time_point now) const;
+
+    table_version version_;
+    std::vector<std::vector<std::string>> grantor_sets_;
+    std::map<partition_id, epoch_number> partitions_;
+    std::chrono::milliseconds wait_;
+    std::map<std::string, acknowledgement> acknowledgements_;
+    grantor_group asked_;
+    std::uint64_t round_ = 0;
+    std::optional<time_point> asked_at_;
+    std::set<std::string> confirmed_;
+    std::set<incarnation> recorded_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/tests/grantor_test.cpp
@@ -0,0 +1,160 @@
+#include "coordination/grantor.h"
+#include "state/limits.h"
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+const incarnation owner_a{"a", 1};
+const incarnation owner_b{"b", 1};
+const incarnation agent_x1{"x", 1};
+const incarnation agent_x2{"x", 2};
+
+owner_table table_with(table_version version, std::vector<std::string> grantors) {
+    owner_table table;
+    table.version = version;
+    table.entries = {{owner_a, ""}, {owner_b, ""}};
+    table.partitions.assign(partition_count, {owner_a, version});
+    table.grantors = std::move(grantors);
+    return table;
+}
+
+grant_request request_from(const incarnation& owner, table_version version,
+                           std::vector<incarnation> agents = {}) {
+    return {owner, version, 0, 1, std::move(agents)};
+}
+
+// A grantor that took part in the creation of the first table.
+grantor first_grantor(const std::string& name, const std::vector<std::string>& grantors) {
+    grantor g{{name, 1}, start};
+    g.push(owner_table{}, start);
+    g.push(table_with(1, grantors), start);
+    return g;
+}
+
+bool grants(grantor& g, const incarnation& owner, table_version version, time_point now) {
+    return g.request(request_from(owner, version), 0, now).granted;
+}
+
+// Guards against a restarted grantor that takes the first table it sees for the first one ever.
+TEST(grantor, grants_without_recovery_only_if_assured_that_no_table_existed) {
+    grantor fresh = first_grantor("g", {"g", "h", "i"});
+    EXPECT_TRUE(grants(fresh, owner_a, 1, start));
+    grantor restarted{{"g", 2}, start};
+    EXPECT_TRUE(restarted.push(table_with(1, {"g", "h", "i"}), start).recovering);
+    EXPECT_FALSE(grants(restarted, owner_a, 1, start + 10s));
+    // An assurance does not cover the tables after the first one.
+    grantor late{{"g", 3}, start};
+    late.push(owner_table{}, start);
+    EXPECT_TRUE(late.push(table_with(2, {"g", "h", "i"}), start).recovering);
+    // It may arrive after the table that it precedes.
+    grantor reordered{{"g", 4}, start};
+    reordered.push(table_with(1, {"g", "h", "i"}), start);
+    EXPECT_FALSE(reordered.push(owner_table{}, start).recovering);
+}
+
+// Guards against grants for a deposed owner or one with an old configuration.
+TEST(grantor, refuses_older_versions_and_revisions) {
+    grantor g = first_grantor("g", {"g"});
+    EXPECT_EQ(g.push(table_with(5, {"g"}), start).version, 5U);
+    const grant_reply refusal = g.request(request_from(owner_a, 4), 0, start);
+    EXPECT_FALSE(refusal.granted);
+    EXPECT_EQ(refusal.version, 5U);
+    EXPECT_TRUE(grants(g, owner_a, 5, start));
+    EXPECT_TRUE(grants(g, owner_a, 6, start));
+    EXPECT_FALSE(g.request(request_from(owner_a, 5), 1, start).granted);
+    EXPECT_EQ(g.push(table_with(3, {"g"}), start).version, 5U);
+    EXPECT_EQ(g.epoch_of(7), 5U);
+    EXPECT_EQ(g.epoch_of(partition_count), 0U);
+}
+
+// Guards against missed failures, and against reports by a grantor that was itself paused.
+TEST(grantor, reports_owners_that_were_silent_for_a_second) {
+    grantor g = first_grantor("g", {"g"});
+    time_point now = start;
+    for (; now < start + 1s; now += 300ms)
+        EXPECT_TRUE(g.request(request_from(owner_a, 1), 0, now).silent_owners.empty());
+    EXPECT_EQ(g.request(request_from(owner_a, 1), 0, now).silent_owners, std::vector{owner_b});
+    g.request(request_from(owner_b, 1), 0, now);
+    EXPECT_TRUE(g.request(request_from(owner_a, 1), 0, now).silent_owners.empty());
+    EXPECT_TRUE(g.request(request_from(owner_a, 1), 0, now + 30s).silent_owners.empty());
+}
+
+// Guards against a grantor that forgets what it acknowledged: it would let a deposed owner act again.
+TEST(grantor, restarted_one_recovers_from_a_majority_and_waits) {
+    const std::vector<std::string> names{"g", "h", "i", "j", "k"};
+    grantor g{{"g", 2}, start};
+    g.push(table_with(1, names), start);
+    const auto question = g.recovery_due(start);
+    ASSERT_TRUE(question);
+    EXPECT_FALSE(g.recovery_due(start + 100ms));
+    EXPECT_FALSE(g.answer({{"h", 9}, 1}));
+    const auto reply = [&](const std::string& from, table_version version, std::uint64_t nonce) {
+        return recovery_reply{{"g", 2}, nonce, {from, 1}, table_with(version, names), {{from, 7}}};
+    };
+    g.recovered(reply("h", 4, question->nonce), start);
+    g.recovered(reply("h", 4, question->nonce), start);
+    g.recovered(reply("i", 6, question->nonce), start);
+    g.recovered(reply("j", 6, question->nonce + 1), start);
+    g.recovered(reply("g", 6, question->nonce), start);
+    EXPECT_FALSE(grants(g, owner_a, 6, start + 10s));
+    g.recovered(reply("j", 5, question->nonce), start + 10s);
+    EXPECT_FALSE(grants(g, owner_a, 6, start + 10s + grant_period - 1ms));
+    EXPECT_TRUE(grants(g, owner_a, 6, start + 10s + grant_period));
+    EXPECT_FALSE(grants(g, owner_a, 5, start + 10s + grant_period));
+    EXPECT_EQ(g.answer({{"h", 9}, 1})->recorded.size(), 3U);
+}
+
+// Guards against recovery from two of four grantors, which may both have missed the addition of the fourth.
+TEST(grantor, needs_a_majority_of_the_whole_set_to_recover) {
+    grantor g{{"g", 2}, start};
+    g.push(table_with(3, {"g", "h", "i", "j"}), start);
+    const std::uint64_t nonce = g.recovery_due(start)->nonce;
+    for (const char* name : {"h", "i"})
+        g.recovered({{"g", 2}, nonce, {name, 1}, table_with(3, {"g", "h", "i", "j"}), {}}, start);
+    EXPECT_FALSE(grants(g, owner_a, 3, start + 10s));
+    g.recovered({{"g", 2}, nonce, {"j", 1}, table_with(3, {"g", "h", "i", "j"}), {}}, start);
+    EXPECT_TRUE(grants(g, owner_a, 3, start + 10s));
+}
+
+// Guards against a grantor that starts again alone after all memory is lost.
+TEST(grantor, single_one_does_not_recover_from_itself) {
+    grantor g{{"g", 2}, start};
+    g.push(table_with(3, {"g"}), start);
+    const std::uint64_t nonce = g.recovery_due(start)->nonce;
+    g.recovered({{"g", 2}, nonce, {"g", 1}, table_with(3, {"g"}), {}}, start);
+    EXPECT_FALSE(grants(g, owner_a, 3, start + 10s));
+}
+
+// Guards against missing records in a grantor that was not named for a while.
+TEST(grantor, recovers_after_it_was_not_named) {
+    grantor g = first_grantor("g", {"g", "h", "i"});
+    g.push(table_with(2, {"h", "i"}), start);
+    EXPECT_FALSE(g.recovery_due(start));
+    g.push(table_with(3, {"g", "h", "i"}), start);
+    EXPECT_FALSE(grants(g, owner_a, 3, start + 10s));
+    EXPECT_TRUE(g.recovery_due(start));
+}
+
+// Guards against endless growth of the records, and against the loss of a live agent's record.
+TEST(grantor, drops_replaced_records_after_the_deduplication_window) {
+    grantor g = first_grantor("g", {"g"});
+    const auto recorded = [&](time_point now, std::vector<incarnation> agents) {
+        g.request(request_from(owner_a, 1, std::move(agents)), 0, now);
+        return g.answer({})->recorded;
+    };
+    EXPECT_EQ(recorded(start, {agent_x1, agent_x2}).size(), 2U);
+    EXPECT_EQ(recorded(start + deduplication_window - 1ms, {}).size(), 2U);
+    EXPECT_EQ(recorded(start + deduplication_window, {}), std::vector{agent_x2});
+    // A late message about x1 followed by the refresh of x2.
+    recorded(start + deduplication_window, {agent_x1});
+    recorded(start + deduplication_window + 60s, {agent_x2});
+    EXPECT_EQ(recorded(start + 3 * deduplication_window, {}), std::vector{agent_x2});
+}
+
+} // namespace
+} // namespace persimmonstile
--- /dev/null
+++ b/tests/ownership_test.cpp
@@ -0,0 +1,392 @@
+#include "coordination/ownership.h"
+#include "coordination/ownership_limits.h"
+#include "state/limits.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+const incarnation self{"a", 1};
+const incarnation other{"b", 1};
+
+std::vector<std::string> grantor_names(std::size_t count) {
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < count; ++i)
+        names.push_back("g" + std::to_string(i));
+    return names;
+}
+
+// Partitions 0 to own-1 belong to self, the others to other.
+owner_table table_with(table_version version, std::size_t grantors, std::size_t own, epoch_number epoch) {
+    owner_table table;
+    table.version = version;
+    table.entries = {{self, "address"}, {other, "address"}};
+    for (std::size_t i = 0; i < partition_count; ++i)
+        table.partitions.push_back({i < own ? self : other, epoch});
+    table.grantors = grantor_names(grantors);
+    return table;
+}
+
+// An entry with connected agents g0, g1, ... whose answers the test gives.
+class entry_under_test {
+public:
+    explicit entry_under_test(std::size_t agents, std::size_t minimum_grantors = 3)
+        : logic{self, "address", minimum_grantors}
+        , agents_{agents} {
+        for (std::size_t i = 0; i < agents; ++i)
+            take(logic.agent_connected(agent(i), now));
+    }
+
+    static incarnation agent(std::size_t i) { return {"g" + std::to_string(i), 1}; }
+
+    // Keeps the sequence of the last grant request and the last question, and counts store calls.
+    void take(const ownership_actions& actions) {
+        for (const control_send& send : actions.sends) {
+            if (const auto* request = std::get_if<grant_request>(&send.message))
+                requested = *request;
+            else if (const auto* question = std::get_if<recovery_request>(&send.message))
+                asked = *question;
+            else if (const auto* push = std::get_if<table_push>(&send.message))
+                pushed = push->table;
+        }
+        gained.insert(gained.end(), actions.gained.begin(), actions.gained.end());
+        lost.insert(lost.end(), actions.lost.begin(), actions.lost.end());
+        if (actions.write)
+            written = actions.write;
+        reads += actions.read_table ? 1 : 0;
+        calls += (actions.read_table ? 1 : 0) + (actions.write ? 1 : 0);
+    }
+    void advance(std::chrono::milliseconds time) {
+        for (const time_point end = now + time; now < end; now += 50ms)
+            take(logic.tick(now));
+        take(logic.tick(now));
+    }
+    void reply(std::size_t from, std::uint64_t sequence, bool granted = true,
+               std::vector<incarnation> silent = {}, std::vector<incarnation> recorded = {}) {
+        take(logic.grant_replied({agent(from), sequence, granted, false, logic.table().version, 0,
+                                  std::move(silent), std::move(recorded)},
+                                 now));
+    }
+    void reply_all(std::vector<incarnation> silent = {}) {
+        for (std::size_t i = 0; i < agents_; ++i)
+            reply(i, requested.sequence, true, silent);
+    }
+    // Runs for the time while all grantors answer every request.
+    void advance_granted(std::chrono::milliseconds time) {
+        for (const time_point end = now + time; now < end;) {
+            advance(50ms);
+            reply_all();
+        }
+    }
+    void acknowledge_all() {
+        for (std::size_t i = 0; i < agents_; ++i)
+            take(logic.table_acknowledged({agent(i), logic.table().version, false, {}}, now));
+    }
+    void confirm(const incarnation& grantor, std::vector<incarnation> recorded = {}) {
+        take(logic.records_replied({self, asked.nonce, grantor, logic.table(), std::move(recorded)}, now));
+    }
+    void read(const std::optional<owner_table>& table, std::int64_t mod) {
+        take(logic.table_read(table, mod, now));
+    }
+
+    time_point now = start;
+    ownership logic;
+    grant_request requested;
+    recovery_request asked;
+    std::optional<owner_table> pushed;
+    std::optional<table_write> written;
+    std::vector<partition_gain> gained;
+    std::vector<partition_id> lost;
+    int reads = 0;
+    int calls = 0;
+
+private:
+    std::size_t agents_;
+};
+
+// A member that owns partitions 0 to 31 under table version 5 and holds all grants.
+entry_under_test acting_member(std::size_t grantors) {
+    entry_under_test entry{grantors};
+    entry.read(table_with(5, grantors, 32, 2), 50);
+    entry.acknowledge_all();
+    entry.advance_granted(grant_period + clock_rate_margin);
+    for (std::size_t i = 0; i < grantors; ++i)
+        entry.confirm(entry.agent(i));
+    return entry;
+}
+
+// Guards against two first tables, and against one whose grantors are too few or not yet assured.
+TEST(ownership, first_table_needs_enough_assured_agents_and_an_absent_key) {
+    entry_under_test entry{2};
+    entry.read(std::nullopt, 0);
+    entry.advance(1500ms);
+    EXPECT_FALSE(entry.written);
+    entry.take(entry.logic.agent_connected(entry.agent(2), entry.now));
+    entry.advance(1900ms);
+    // The third agent connected after the first read, so the store is read again.
+    EXPECT_EQ(entry.reads, 2);
+    EXPECT_FALSE(entry.written);
+    entry.read(std::nullopt, 0);
+    ASSERT_TRUE(entry.pushed);
+    EXPECT_EQ(entry.pushed->version, 0U);
+    for (std::size_t i = 0; i < 3; ++i)
+        entry.take(entry.logic.table_acknowledged({entry.agent(i), 0, true, {}}, entry.now));
+    entry.advance(1000ms);
+    ASSERT_TRUE(entry.written);
+    EXPECT_EQ(entry.written->expected_mod, 0);
+    EXPECT_EQ(entry.written->table.version, 1U);
+    EXPECT_EQ(entry.written->table.grantors, grantor_names(3));
+    EXPECT_EQ(entry.written->table.partitions.at(63).epoch, 1U);
+}
+
+// Guards against a lease that outlives what its grantor promised.
+TEST(ownership, lease_counts_from_the_sending_time_of_its_request) {
+    entry_under_test entry = acting_member(3);
+    EXPECT_TRUE(entry.logic.owns(0, entry.now));
+    EXPECT_FALSE(entry.logic.owns(32, entry.now));
+    entry.advance(300ms);
+    const time_point sent = entry.now;
+    const std::uint64_t sequence = entry.requested.sequence;
+    entry.advance(1400ms);
+    entry.reply_all();
+    entry.reply(0, sequence);
+    entry.reply(1, sequence);
+    EXPECT_GT(entry.logic.lease_left(entry.now), 1s);
+    entry = acting_member(3);
+    entry.advance(300ms);
+    const std::uint64_t old = entry.requested.sequence;
+    entry.advance(1400ms);
+    entry.reply(0, old);
+    entry.reply(1, old);
+    EXPECT_LE(entry.logic.lease_left(entry.now), grant_period - 1400ms);
+    EXPECT_FALSE(entry.logic.owns(0, sent + 300ms + grant_period));
+}
+
+// Guards against leases from answers that come late, twice or out of order.
+TEST(ownership, late_and_repeated_answers_do_not_extend_a_lease) {
+    entry_under_test entry = acting_member(3);
+    entry.advance(300ms);
+    const std::uint64_t old = entry.requested.sequence;
+    entry.advance(300ms);
+    entry.reply(0, entry.requested.sequence, false);
+    entry.reply(0, old);
+    entry.reply(0, entry.requested.sequence);
+    entry.advance(grant_period);
+    entry.reply(1, old);
+    entry.reply(2, old);
+    EXPECT_EQ(entry.logic.lease_left(entry.now).count(), 0);
+    EXPECT_FALSE(entry.logic.owns(0, entry.now));
+}
+
+// Guards against acting on grants of a minority, for every supported number of grantors.
+TEST(ownership, acts_only_with_a_majority_of_grants) {
+    for (const std::size_t size : {1U, 3U, 4U, 5U, 11U}) {
+        entry_under_test entry = acting_member(size);
+        EXPECT_TRUE(entry.logic.owns(0, entry.now)) << size;
+        entry.advance(3s);
+        EXPECT_FALSE(entry.logic.owns(0, entry.now)) << size;
+        for (std::size_t i = 0; i < size; ++i) {
+            entry.reply(i, entry.requested.sequence);
+            EXPECT_EQ(entry.logic.owns(0, entry.now), i + 1 >= size / 2 + 1) << size << " " << i;
+        }
+    }
+}
+
+// Guards against acting while the old owner may still hold grants, and against missing agents.
+TEST(ownership, gains_after_acknowledgements_wait_and_confirmation) {
+    entry_under_test entry{3};
+    entry.read(table_with(5, 3, 32, 2), 50);
+    entry.advance_granted(0ms);
+    entry.take(entry.logic.table_acknowledged({entry.agent(0), 5, false, {}}, entry.now));
+    entry.take(entry.logic.table_acknowledged({entry.agent(1), 4, false, {}}, entry.now));
+    entry.take(entry.logic.table_acknowledged({entry.agent(2), 5, true, {}}, entry.now));
+    entry.advance(2s);
+    EXPECT_EQ(entry.asked.nonce, 0U);
+    entry.take(entry.logic.table_acknowledged({entry.agent(1), 5, false, {}}, entry.now));
+    entry.advance(1550ms);
+    EXPECT_EQ(entry.asked.nonce, 0U);
+    entry.advance(50ms);
+    EXPECT_NE(entry.asked.nonce, 0U);
+    entry.confirm(entry.agent(0), {{"x", 1}});
+    entry.confirm(entry.agent(2), {{"z", 1}});
+    // A restarted grantor may have forgotten its acknowledgement.
+    entry.confirm({"g1", 2}, {{"z", 1}});
+    EXPECT_TRUE(entry.gained.empty());
+    entry.confirm(entry.agent(1), {{"x", 1}, {"y", 1}});
+    ASSERT_EQ(entry.gained.size(), 32U);
+    EXPECT_EQ(entry.gained[0].epoch, 2U);
+    EXPECT_FALSE(entry.gained[0].first_epoch);
+    EXPECT_EQ(entry.gained[0].suspects, (std::vector<incarnation>{{"x", 1}, {"y", 1}}));
+}
+
+// Guards against a takeover that rests on a minority or on old reports.
+TEST(ownership, silent_owner_is_removed_only_by_a_majority_of_recent_reports) {
+    entry_under_test entry = acting_member(5);
+    entry.advance_granted(300ms);
+    entry.advance(300ms);
+    entry.reply(0, entry.requested.sequence, true, {other});
+    entry.reply(1, entry.requested.sequence, true, {other});
+    entry.advance(900ms);
+    entry.reply(2, entry.requested.sequence, true, {other});
+    entry.advance(300ms);
+    EXPECT_FALSE(entry.written);
+    entry.reply_all({other});
+    entry.advance(change_jitter);
+    ASSERT_TRUE(entry.written);
+    EXPECT_EQ(entry.written->expected_mod, 50);
+    EXPECT_EQ(entry.written->table.entries.size(), 1U);
+    EXPECT_EQ(entry.written->table.partitions.at(0).epoch, 2U);
+    EXPECT_EQ(entry.written->table.partitions.at(63), (partition_owner{self, 3}));
+}
+
+// Guards against a writer that forgets its own write, or repeats it after another one.
+TEST(ownership, lost_answer_is_resolved_by_reading_back) {
+    entry_under_test entry = acting_member(3);
+    entry.take(entry.logic.leave(entry.now));
+    ASSERT_TRUE(entry.written);
+    const table_write first = *entry.written;
+    entry.take(entry.logic.table_written(table_write_result::unavailable, entry.now));
+    EXPECT_FALSE(entry.logic.left());
+    const int reads = entry.reads;
+    entry.advance(3s);
+    EXPECT_EQ(entry.reads, reads + 1);
+    entry.read(first.table, 51);
+    EXPECT_EQ(entry.logic.table(), first.table);
+    EXPECT_TRUE(entry.logic.left());
+    EXPECT_EQ(entry.lost.size(), 32U);
+    EXPECT_EQ(entry.written->table.operation_id, first.table.operation_id);
+}
+
+// Guards against a loser of a race that overwrites the winner or gives up.
+TEST(ownership, lost_race_reads_again_and_builds_on_the_winner) {
+    entry_under_test entry = acting_member(3);
+    entry.take(entry.logic.leave(entry.now));
+    ASSERT_TRUE(entry.written);
+    entry.take(entry.logic.table_written(table_write_result::lost_race, entry.now));
+    const int before = entry.reads;
+    entry.advance_granted(1s);
+    EXPECT_EQ(entry.reads, before + 1);
+    entry.read(table_with(6, 3, 32, 2), 60);
+    entry.acknowledge_all();
+    entry.advance_granted(2s);
+    EXPECT_EQ(entry.written->expected_mod, 60);
+    EXPECT_EQ(entry.written->table.version, 7U);
+}
+
+// Guards against a store that is flooded during an outage.
+TEST(ownership, store_calls_are_limited_during_an_outage) {
+    entry_under_test entry = acting_member(3);
+    entry.take(entry.logic.leave(entry.now));
+    entry.take(entry.logic.table_written(table_write_result::unavailable, entry.now));
+    const int before = entry.calls;
+    for (int i = 0; i < 600; ++i) {
+        const int reads = entry.reads;
+        entry.advance_granted(100ms);
+        if (entry.reads > reads)
+            entry.take(entry.logic.table_unavailable(entry.now));
+    }
+    EXPECT_LE(entry.calls - before, 60);
+    EXPECT_GE(entry.calls - before, 20);
+}
+
+// Guards against a fenced entry that goes on, and against one that stays out for ever.
+TEST(ownership, removed_entry_stops_at_once_and_joins_again) {
+    entry_under_test entry = acting_member(3);
+    owner_table next = table_with(6, 3, 0, 3);
+    next.entries = {{other, "address"}};
+    entry.take(entry.logic.grant_replied(
+        {entry.agent(0), entry.requested.sequence, false, false, 6, 0, {}, {}}, entry.now));
+    entry.take(entry.logic.table_received(next, entry.now));
+    EXPECT_EQ(entry.lost.size(), 32U);
+    EXPECT_FALSE(entry.logic.owns(0, entry.now));
+    entry.acknowledge_all();
+    entry.advance_granted(2s);
+    entry.read(next, 60);
+    entry.advance_granted(500ms);
+    ASSERT_TRUE(entry.written);
+    EXPECT_EQ(entry.written->table.entries.back().entry, self);
+    EXPECT_EQ(entry.written->table.partitions.at(0), (partition_owner{self, 4}));
+}
+
+// Guards against two processes of one name that remove each other in turn.
+TEST(ownership, later_incarnation_replaces_the_earlier_one) {
+    entry_under_test entry{3};
+    owner_table old = table_with(5, 3, 32, 2);
+    old.entries[0].entry.number = 77;
+    entry.read(old, 50);
+    entry.acknowledge_all();
+    entry.advance_granted(300ms);
+    ASSERT_TRUE(entry.written);
+    EXPECT_EQ(entry.written->table.entries.size(), 2U);
+    EXPECT_EQ(entry.written->table.entries.back().entry, self);
+    entry.take(entry.logic.table_written(table_write_result::committed, entry.now));
+    owner_table newer = entry.logic.table();
+    ++newer.version;
+    newer.entries.back().entry.number = 99;
+    entry.take(entry.logic.table_received(newer, entry.now));
+    EXPECT_TRUE(entry.logic.is_replaced());
+    const int calls = entry.calls;
+    entry.acknowledge_all();
+    entry.advance_granted(5s);
+    EXPECT_EQ(entry.calls, calls);
+}
+
+// Guards against an entry that cannot stop because nobody could take its partitions.
+TEST(ownership, last_entry_leaves_at_once) {
+    entry_under_test entry{3};
+    owner_table table = table_with(5, 3, 64, 2);
+    table.entries.pop_back();
+    entry.read(table, 50);
+    EXPECT_FALSE(entry.logic.left());
+    entry.take(entry.logic.leave(entry.now));
+    EXPECT_TRUE(entry.logic.left());
+}
+
+// Guards against an agent that starts tasks although a restarted grantor has lost its record.
+TEST(ownership, agent_is_recorded_when_a_majority_holds_the_record_at_one_instant) {
+    entry_under_test entry = acting_member(3);
+    const incarnation agent{"x", 1};
+    entry.take(entry.logic.agent_connected(agent, entry.now));
+    ASSERT_EQ(entry.requested.new_agents.back(), agent);
+    entry.reply(0, entry.requested.sequence, true, {}, {agent});
+    entry.advance(300ms);
+    // g0 restarts and recovers without the record before g1 holds it.
+    entry.take(entry.logic.agent_connected({"g0", 2}, entry.now));
+    entry.reply(1, entry.requested.sequence, true, {}, {agent});
+    entry.advance(300ms);
+    entry.reply(1, entry.requested.sequence, true, {}, {agent});
+    EXPECT_FALSE(entry.logic.is_recorded(agent));
+    // g2 answers after the latest request that g1 confirmed was sent, so g1 may have restarted in between.
+    entry.advance(50ms);
+    entry.reply(2, entry.requested.sequence, true, {}, {agent});
+    EXPECT_FALSE(entry.logic.is_recorded(agent));
+    entry.advance(300ms);
+    entry.reply(1, entry.requested.sequence, true, {}, {agent});
+    entry.reply(2, entry.requested.sequence, true, {}, {agent});
+    EXPECT_TRUE(entry.logic.is_recorded(agent));
+    EXPECT_FALSE(entry.logic.is_recorded({"x", 2}));
+}
+
+// Guards against unfair shares and against new epochs for partitions that stay where they are.
+TEST(table_change, joining_entry_gets_its_fair_part) {
+    const owner_table base = table_with(5, 3, 40, 2);
+    const owner_table next = with_entries_changed(base, {{}, entry_address{{"c", 1}, "address"}});
+    std::map<incarnation, int> loads;
+    for (std::size_t i = 0; i < partition_count; ++i) {
+        ++loads[next.partitions[i].owner];
+        const bool moved = next.partitions[i].owner != base.partitions[i].owner;
+        EXPECT_EQ(next.partitions[i].epoch, moved ? 3U : 2U);
+    }
+    EXPECT_EQ(next.version, 6U);
+    EXPECT_EQ((loads[{"c", 1}]), 21);
+    EXPECT_LE(loads[self], 22);
+}
+
+} // namespace
+} // namespace persimmonstile
