Refuse only under a lease, and check the promises under random failures

Ruled out: the epoch fence of the agents; the late dispatch was the new owner's. Conclusion: refusals need a valid lease and the request's present owner.

--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -257,7 +257,6 @@
         job.owner = owner;
         job.epoch = message.epoch;
         for (auto& [index, record] : job.tasks) {
-            record.epoch = message.epoch;
             if (record.state == phase::queued)
                 end_unstarted(job, index, record, refusal::revoked, now);
             task_report entry = record.report;
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -257,11 +257,19 @@
 }
 
 job_actions job_table::refused(const job_id& job, const job_failed& refusal) {
+    return drop_admitting(job, job_outcome{refusal});
+}
+
+job_actions job_table::abandoned(const job_id& job) {
+    return drop_admitting(job, job_wrong_owner{});
+}
+
+job_actions job_table::drop_admitting(const job_id& job, const job_reply& reply) {
     job_actions actions;
     const auto found = jobs_.find(job);
     if (found == jobs_.end() || found->second.phase != job_phase::admitting)
         return actions;
-    answer_callers(job, found->second, job_outcome{refusal}, actions);
+    answer_callers(job, found->second, reply, actions);
     --active_jobs_;
     jobs_.erase(found);
     return actions;
--- a/coordination/job_table.h
+++ b/coordination/job_table.h
@@ -52,6 +52,9 @@
     // Result of the admission that a queue_request asked for.
     job_actions admitted(const job_id& job);
     job_actions refused(const job_id& job, const job_failed& refusal);
+    // Sends the callers of a job that was not admitted to the present owner. An owner whose grants have
+    // lapsed must not refuse: its successor may be running the job.
+    job_actions abandoned(const job_id& job);
 
     job_actions assign(const assignment& chosen, config_revision revision, time_point now);
     job_actions reported(const task_reports& reports, time_point now);
@@ -80,6 +83,7 @@
     void start_job(const submission& request, job_record& record, time_point now, wall_time wall_now,
                    job_actions& actions);
     bool needs_query(const job_id& job, const owned_partition& partition) const;
+    job_actions drop_admitting(const job_id& job, const job_reply& reply);
     void finish_query(const job_id& job, job_record& record, time_point now, job_actions& actions);
     void apply_queried_task(const job_id& job, job_record& record, const incarnation& agent,
                             const task_report& report, time_point now, job_actions& actions);
--- a/daemon/caller_desk.cpp
+++ b/daemon/caller_desk.cpp
@@ -149,6 +149,9 @@
         const auto found = pending_.find(answer.token);
         if (found == pending_.end())
             return;
+        // The request was sent on to another owner, whose answer counts.
+        if (found->second.where != place::own_engine)
+            return;
         is_local = std::holds_alternative<reply_handler>(found->second.caller);
         // The engine may have accepted the job before it lost the partition.
         found->second.was_sent = true;
@@ -159,7 +162,15 @@
         finish(answer.token, answer.reply);
 }
 
-void caller_desk::deliver_forwarded(const job_result& result) {
+void caller_desk::deliver_forwarded(const incarnation& owner, const job_result& result) {
+    {
+        const std::lock_guard lock{mutex_};
+        const auto found = pending_.find(result.token);
+        const bool expected = found != pending_.end() && found->second.where == place::other_entry &&
+                              found->second.sent_to == owner;
+        if (!expected)
+            return;
+    }
     if (std::holds_alternative<job_wrong_owner>(result.reply))
         mark_unsent(result.token);
     else
--- a/daemon/caller_desk.h
+++ b/daemon/caller_desk.h
@@ -57,8 +57,9 @@
 
     // The engine's answer to one token.
     void deliver(const caller_answer& answer);
-    // The owner's answer to a request that this entry forwarded.
-    void deliver_forwarded(const job_result& result);
+    // The answer of another entry to a request that this one forwarded. It counts only if that entry is the
+    // one that the request was sent to last: a deposed owner may refuse what its successor is running.
+    void deliver_forwarded(const incarnation& owner, const job_result& result);
 
     void set_table(const owner_table& table);
     void entry_disconnected(const incarnation& entry);
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -168,10 +168,10 @@
         engine_.reported(*reports);
     } else if (const auto* report = std::get_if<job_report>(&message)) {
         engine_.query_answered(*report);
-    } else if (const auto* result = std::get_if<job_result>(&message)) {
-        desk_.deliver_forwarded(*result);
     } else if (!session.entry) {
-        log_event(log_level::warn, component, "forwarded request from a peer that did not introduce itself");
+        log_event(log_level::warn, component, "message from a peer that did not introduce itself");
+    } else if (const auto* result = std::get_if<job_result>(&message)) {
+        desk_.deliver_forwarded(*session.entry, *result);
     } else if (const auto* job = std::get_if<forward_job>(&message)) {
         desk_.forwarded(*session.entry, *job);
     } else if (const auto* lookup = std::get_if<forward_lookup>(&message)) {
--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -62,7 +62,12 @@
     job_actions actions;
     {
         const std::lock_guard lock{target.mutex};
-        actions = refusal ? target.jobs.refused(request.job, *refusal) : target.jobs.admitted(request.job);
+        if (!refusal)
+            actions = target.jobs.admitted(request.job);
+        else if (has_lease())
+            actions = target.jobs.refused(request.job, *refusal);
+        else
+            actions = target.jobs.abandoned(request.job);
     }
     perform(actions);
 }
--- /dev/null
+++ b/tests/job_world.h
@@ -0,0 +1,534 @@
+#pragma once
+
+#include "coordination/agent_tasks.h"
+#include "coordination/job_table.h"
+#include "state/limits.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// A few owners and agents in one thread, with seeded delays and failures: owners that die, are paused or
+// deposed, agents that restart, connections that are cut and deliver late, backend servers that lose results.
+// Partition ownership is moved by the world itself under the guarantee of the grants: at most one owner may
+// act at any time. Every history is a function of its seed.
+class job_world {
+public:
+    struct options {
+        std::uint64_t seed = 1;
+        std::size_t jobs = 6;
+        // Switches that break a rule on purpose, to show that the checks notice.
+        bool skip_query = false;
+        bool keep_old_epochs = false;
+        bool refuse_without_lease = false;
+    };
+
+    explicit job_world(const options& chosen)
+        : options_{chosen}
+        , random_{chosen.seed} {
+        for (int i = 0; i < agent_count; ++i)
+            start_agent(i);
+        owners_.push_back(make_owner());
+        owners_.push_back(make_owner());
+        current_ = 0;
+        gain(0, true);
+    }
+
+    // Runs the history; returns the violated promises, empty if all held.
+    const std::vector<std::string>& run() {
+        for (std::size_t i = 0; i < options_.jobs; ++i)
+            at(pick(2000), [this, i] { submit_new(i); });
+        for (std::uint64_t i = 0, faults = pick(10); i < faults; ++i)
+            at(pick(3000), [this] { random_fault(); });
+        for (int ms = 50; ms < 130000; ms += ms < 15000 ? 50 : 1000)
+            at(ms, [this] { tick(); });
+        while (!events_.empty() && violations_.empty()) {
+            const event next = events_.top();
+            events_.pop();
+            now_ = next.when;
+            next.action();
+        }
+        for (const auto& [token, caller] : callers_) {
+            if (violations_.empty() && !caller.answered)
+                violate("caller of " + caller.job + " got no answer");
+        }
+        return violations_;
+    }
+
+    std::string history() const {
+        std::string text = "seed " + std::to_string(options_.seed) + "\n";
+        for (const std::string& line : log_)
+            text += line + "\n";
+        return text;
+    }
+
+    std::size_t starts() const { return starts_.size(); }
+    std::size_t complete_answers() const { return complete_answers_; }
+    std::size_t takeovers() const { return epoch_ - 1; }
+
+private:
+    static constexpr int agent_count = 3;
+    static constexpr const char* service = "dispatch";
+
+    struct event {
+        time_point when;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const event& other) const {
+            return std::pair{when, order} > std::pair{other.when, other.order};
+        }
+    };
+    struct owner {
+        incarnation id;
+        std::unique_ptr<job_table> jobs;
+        std::deque<queue_request> queue;
+        bool alive = true;
+        epoch_number epoch = 0;
+    };
+    struct agent {
+        std::unique_ptr<agent_tasks> tasks;
+        incarnation id;
+        epoch_number known_epoch = 0;
+    };
+    struct link {
+        bool up = true;
+        // A message that was sent before the cut is lost or arrives late and out of order.
+        std::uint64_t generation = 0;
+        time_point last_arrival{};
+    };
+    struct caller {
+        job_id job;
+        std::size_t tasks = 0;
+        bool answered = false;
+        // The owner that the entry with this caller sent the request to last.
+        std::size_t sent_to = 0;
+    };
+    struct job_facts {
+        std::size_t tasks = 0;
+        // Positions in the order of events, as several may fall into one millisecond.
+        std::uint64_t last_submitted = 0;
+        std::optional<std::uint64_t> not_run;
+        bool complete = false;
+        bool task_failed = false;
+        bool lost = false;
+    };
+
+    std::uint64_t pick(std::uint64_t bound) { return random_() % bound; }
+    bool chance(unsigned percent) { return pick(100) < percent; }
+    void note(const std::string& text) {
+        log_.push_back(std::to_string(now_.time_since_epoch().count() / 1000000) + " ms  " + text);
+    }
+    void violate(const std::string& text) {
+        note("VIOLATION " + text);
+        violations_.push_back(text);
+    }
+    void at(std::uint64_t delay_ms, std::function<void()> action) {
+        events_.push({now_ + std::chrono::milliseconds{delay_ms}, order_++, std::move(action)});
+    }
+    wall_time wall() const { return wall_time{std::chrono::hours{400000}} + (now_ - time_point{}); }
+
+    std::unique_ptr<owner> make_owner() {
+        auto made = std::make_unique<owner>();
+        made->id = {"entry-" + std::to_string(owners_.size()), 1};
+        made->jobs = std::make_unique<job_table>(std::size_t{1} << 30U);
+        return made;
+    }
+
+    void start_agent(int index) {
+        agent& started = agents_[index];
+        started.id = {"agent-" + std::to_string(index), ++incarnations_};
+        started.tasks = std::make_unique<agent_tasks>(started.id, "zone", "rack");
+        auto fleet = std::make_shared<fleet_view>();
+        fleet->revision = 1;
+        started.tasks->set_fleet(fleet, now_);
+        started.tasks->extend_lease(now_ + std::chrono::hours{1}, now_);
+        started.tasks->set_recorded(now_);
+        started.tasks->announced({service, "url", 2, 8, false}, now_);
+        recorded_.insert(started.id);
+        teach_epochs(started, epoch_);
+    }
+
+    void teach_epochs(agent& taught, epoch_number epoch) {
+        if (options_.keep_old_epochs || epoch == 0)
+            return;
+        owner_table table;
+        table.version = epoch;
+        table.partitions.assign(partition_count, partition_owner{{"entry", 1}, epoch});
+        perform_agent(taught, taught.tasks->set_table(table, now_));
+    }
+
+    void gain(std::size_t index, bool first) {
+        ++epoch_;
+        owner& next = *owners_[index];
+        next.epoch = epoch_;
+        for (partition_id p = 0; p < partition_count; ++p) {
+            partition_gain gained;
+            gained.partition = p;
+            gained.epoch = epoch_;
+            gained.first_epoch = first || options_.skip_query;
+            gained.suspects = {recorded_.begin(), recorded_.end()};
+            next.jobs->gain(gained, wall());
+        }
+        note(next.id.name + " owns all partitions in epoch " + std::to_string(epoch_));
+        for (auto& [i, taught] : agents_) {
+            if (chance(50))
+                at(pick(3000), [this, index = i, epoch = epoch_] { teach_epochs(agents_[index], epoch); });
+        }
+        for (const incarnation& suspect : recorded_) {
+            bool running = false;
+            for (const auto& [i, present] : agents_)
+                running = running || present.id == suspect;
+            if (!running)
+                perform(index, next.jobs->agent_gone(suspect, now_));
+        }
+    }
+
+    void random_fault() {
+        switch (pick(8)) {
+        case 0:
+            take_over(chance(50));
+            break;
+        case 1:
+            restart_agent(static_cast<int>(pick(agent_count)));
+            break;
+        case 2:
+            cut(pick(owners_.size()), static_cast<int>(pick(agent_count)));
+            break;
+        case 3:
+        case 4:
+        case 5:
+            cut(current_, static_cast<int>(pick(agent_count)));
+            break;
+        case 6:
+            cancel_some_job();
+            break;
+        default:
+            resubmit_some_job();
+            break;
+        }
+    }
+
+    void take_over(bool old_dies) {
+        const std::size_t old = current_;
+        note(owners_[old]->id.name + (old_dies ? " dies" : " is deposed"));
+        owners_.push_back(make_owner());
+        current_ = owners_.size() - 1;
+        gain(current_, false);
+        if (old_dies)
+            owners_[old]->alive = false;
+        else
+            at(pick(3000), [this, old] {
+                for (partition_id p = 0; p < partition_count; ++p)
+                    perform(old, owners_[old]->jobs->lose(p));
+            });
+        // Callers of the old owner come back, as the entries send their waiting requests to the new one.
+        for (const auto& [token, waiting] : callers_) {
+            if (!waiting.answered)
+                at(pick(500), [this, token = token] { resubmit(token); });
+        }
+    }
+
+    void restart_agent(int index) {
+        agent& restarted = agents_[index];
+        const incarnation old = restarted.id;
+        note(old.name + " restarts");
+        start_agent(index);
+        for (std::size_t o = 0; o < owners_.size(); ++o) {
+            links_[{o, index}] = {};
+            at(pick(2000), [this, o, old] {
+                if (owners_[o]->alive)
+                    perform(o, owners_[o]->jobs->agent_gone(old, now_));
+            });
+        }
+    }
+
+    void cut(std::size_t owner_index, int agent_index) {
+        link& broken = links_[{owner_index, agent_index}];
+        note("connection " + owners_[owner_index]->id.name + " - agent-" + std::to_string(agent_index) +
+             " is cut");
+        broken.up = false;
+        ++broken.generation;
+        at(pick(1500), [this, owner_index, agent_index] {
+            links_[{owner_index, agent_index}].up = true;
+            if (owners_[owner_index]->alive)
+                perform(owner_index,
+                        owners_[owner_index]->jobs->agent_connected(agents_[agent_index].id, 1, now_));
+        });
+    }
+
+    job_id name_of(std::size_t index) const { return "job-" + std::to_string(index); }
+
+    void submit_new(std::size_t index) {
+        const job_id job = name_of(index);
+        facts_[job].tasks = 1 + pick(4);
+        submit(job);
+        for (std::uint64_t i = 0, again = pick(3); i < again; ++i)
+            at(pick(6000), [this, job] { submit(job); });
+    }
+
+    void submit(const job_id& job) {
+        const caller_token token = next_token_++;
+        callers_[token] = {job, facts_[job].tasks, false, current_};
+        resubmit(token);
+    }
+
+    void resubmit(caller_token token) {
+        caller& asking = callers_[token];
+        if (asking.answered)
+            return;
+        submission request;
+        request.job = asking.job;
+        auto spec = std::make_shared<job_spec>();
+        spec->service = service;
+        spec->digest = asking.job;
+        for (std::size_t i = 0; i < asking.tasks; ++i)
+            spec->tasks.push_back(text_of(asking.job, i));
+        request.spec = spec;
+        request.token = token;
+        asking.sent_to = current_;
+        facts_[asking.job].last_submitted = order_++;
+        note("submit " + asking.job + " to " + owners_[current_]->id.name);
+        perform(current_, owners_[current_]->jobs->submit(request, now_, wall()));
+    }
+
+    void resubmit_some_job() {
+        if (!facts_.empty())
+            submit(std::next(facts_.begin(), static_cast<long>(pick(facts_.size())))->first);
+    }
+
+    void cancel_some_job() {
+        if (facts_.empty())
+            return;
+        const job_id job = std::next(facts_.begin(), static_cast<long>(pick(facts_.size())))->first;
+        note("cancel " + job);
+        perform(current_, owners_[current_]->jobs->cancel(job, 0, now_));
+    }
+
+    void tick() {
+        for (auto& [i, ticking] : agents_) {
+            ticking.tasks->announced({service, "url", 2, 8, false}, now_);
+            perform_agent(ticking, ticking.tasks->tick(now_));
+        }
+        for (std::size_t o = 0; o < owners_.size(); ++o) {
+            if (owners_[o]->alive)
+                perform(o, owners_[o]->jobs->tick(now_));
+        }
+        dispatch_waiting();
+    }
+
+    void dispatch_waiting() {
+        owner& acting = *owners_[current_];
+        std::deque<queue_request> waiting;
+        waiting.swap(acting.queue);
+        for (const queue_request& request : waiting) {
+            for (const task_index task : request.tasks) {
+                assignment chosen;
+                chosen.job = request.job;
+                chosen.agent = agents_[static_cast<int>(pick(agent_count))].id;
+                chosen.tasks = {task};
+                perform(current_, acting.jobs->assign(chosen, 1, now_));
+            }
+        }
+    }
+
+    void perform(std::size_t owner_index, const job_actions& actions) {
+        owner& acting = *owners_[owner_index];
+        for (const task_send& send : actions.sends)
+            send_to_agent(owner_index, send);
+        for (const caller_answer& answer : actions.answers)
+            answered(owner_index, answer);
+        for (const queue_request& request : actions.queue)
+            queue(owner_index, acting, request);
+    }
+
+    void queue(std::size_t owner_index, owner& acting, const queue_request& request) {
+        if (!request.needs_admission) {
+            acting.queue.push_back(request);
+            return;
+        }
+        if (chance(15)) {
+            job_failed refusal;
+            refusal.reason = failure_reason::not_run;
+            const bool has_lease = owner_index == current_ || options_.refuse_without_lease;
+            perform(owner_index, has_lease ? acting.jobs->refused(request.job, refusal)
+                                           : acting.jobs->abandoned(request.job));
+            return;
+        }
+        acting.queue.push_back(request);
+        perform(owner_index, acting.jobs->admitted(request.job));
+    }
+
+    void send_to_agent(std::size_t owner_index, const task_send& send) {
+        for (auto& [i, target] : agents_) {
+            if (target.id == send.to)
+                deliver(owner_index, i, [this, owner_index, i = i, send] {
+                    agent& receiver = agents_[i];
+                    if (receiver.id != send.to)
+                        return;
+                    receive(owner_index, receiver, send.message);
+                });
+        }
+    }
+
+    void receive(std::size_t owner_index, agent& receiver, const task_message& message) {
+        const incarnation& from = owners_[owner_index]->id;
+        if (const auto* work = std::get_if<dispatch>(&message))
+            perform_agent(receiver, receiver.tasks->dispatched(from, *work, now_));
+        else if (const auto* withdrawn = std::get_if<revoke>(&message))
+            perform_agent(receiver, receiver.tasks->revoked(from, *withdrawn, now_));
+        else if (const auto* query = std::get_if<query_job>(&message))
+            perform_agent(receiver, receiver.tasks->queried(from, *query, now_));
+    }
+
+    void perform_agent(agent& acting, const agent_actions& actions) {
+        for (const backend_call& call : actions.calls)
+            start_task(acting, call);
+        for (const entry_send& send : actions.sends) {
+            for (std::size_t o = 0; o < owners_.size(); ++o) {
+                if (owners_[o]->id == send.to)
+                    send_to_owner(acting, o, send.message);
+            }
+        }
+    }
+
+    void send_to_owner(const agent& from, std::size_t owner_index, const task_message& message) {
+        const int agent_index = from.id.name.back() - '0';
+        deliver(owner_index, agent_index, [this, owner_index, message] {
+            owner& receiver = *owners_[owner_index];
+            if (!receiver.alive)
+                return;
+            if (const auto* reports = std::get_if<task_reports>(&message))
+                perform(owner_index, receiver.jobs->reported(*reports, now_));
+            else if (const auto* report = std::get_if<job_report>(&message))
+                perform(owner_index, receiver.jobs->query_answered(*report, now_));
+        });
+    }
+
+    // In order while the connection lasts; what is on its way at a cut is lost or arrives late.
+    void deliver(std::size_t owner_index, int agent_index, std::function<void()> action) {
+        link& used = links_[{owner_index, agent_index}];
+        if (!used.up)
+            return;
+        const time_point arrival =
+            std::max(used.last_arrival, now_ + std::chrono::milliseconds{1 + pick(chance(5) ? 400 : 10)});
+        used.last_arrival = arrival;
+        const std::uint64_t generation = used.generation;
+        const bool survives_cut = chance(50);
+        events_.push({arrival, order_++, [this, owner_index, agent_index, generation, survives_cut, action] {
+                          const link& present = links_[{owner_index, agent_index}];
+                          if (present.generation == generation)
+                              action();
+                          else if (survives_cut)
+                              at(pick(2500), action);
+                      }});
+    }
+
+    static std::string text_of(const job_id& job, std::size_t index) {
+        return "\"" + job + "/" + std::to_string(index) + "\"";
+    }
+
+    void start_task(agent& acting, const backend_call& call) {
+        backend_result result{backend_result_kind::answered, call.body};
+        const std::uint64_t kind = pick(100);
+        if (kind < 4)
+            result = {backend_result_kind::error, "error"};
+        else if (kind < 8) {
+            facts_[call.job].lost = true;
+            result = {backend_result_kind::lost, "lost"};
+        } else if (kind < 25)
+            result = {backend_result_kind::declined, "declined"};
+        if (result.kind != backend_result_kind::declined)
+            note_start(acting, call);
+        const incarnation id = acting.id;
+        at(1 + pick(300), [this, id, call, result] {
+            agent& ended = agents_[id.name.back() - '0'];
+            if (ended.id == id)
+                perform_agent(ended, ended.tasks->answered(call.job, call.index, result, now_));
+        });
+    }
+
+    void note_start(const agent& acting, const backend_call& call) {
+        note("start " + call.job + "/" + std::to_string(call.index) + " on " + acting.id.name);
+        if (!starts_.insert({call.job, call.index}).second)
+            violate("task " + call.job + "/" + std::to_string(call.index) + " started twice");
+        const job_facts& facts = facts_[call.job];
+        if (facts.not_run && facts.last_submitted <= *facts.not_run)
+            violate("a task of " + call.job + " started after the refusal not_run");
+    }
+
+    void answered(std::size_t owner_index, const caller_answer& answer) {
+        const auto found = callers_.find(answer.token);
+        if (found == callers_.end() || found->second.answered || found->second.sent_to != owner_index)
+            return;
+        const auto* outcome = std::get_if<job_outcome>(&answer.reply);
+        if (outcome == nullptr) {
+            note("wrong owner " + owners_[owner_index]->id.name + " for " + answer.job);
+            at(100, [this, token = answer.token] { resubmit(token); });
+            return;
+        }
+        found->second.answered = true;
+        check_outcome(answer.job, *outcome);
+    }
+
+    void check_outcome(const job_id& job, const job_outcome& outcome) {
+        job_facts& facts = facts_[job];
+        if (const auto* complete = std::get_if<job_complete>(&outcome)) {
+            note("answer " + job + " complete");
+            ++complete_answers_;
+            facts.complete = true;
+            for (std::size_t i = 0; i < facts.tasks; ++i) {
+                if (complete->answers.size() != facts.tasks || complete->answers[i] != text_of(job, i))
+                    violate("wrong answer of " + job);
+            }
+        } else {
+            const auto& failed = std::get<job_failed>(outcome);
+            note("answer " + job + " " + std::string{to_string(failed.reason)} + " " + failed.detail);
+            facts.task_failed = facts.task_failed || failed.reason == failure_reason::task_failed;
+            // Faults last for seconds and tasks for 300 ms, so a job that reaches its deadline of 60 s was
+            // forgotten.
+            if (failed.reason == failure_reason::deadline_exceeded)
+                violate(job + " was forgotten until its deadline");
+            if (failed.reason == failure_reason::outcome_unknown && !facts.lost &&
+                incarnations_ == agent_count)
+                violate(job + " has an unknown outcome without a lost result or agent");
+            if (failed.reason == failure_reason::not_run) {
+                facts.not_run = order_++;
+                if (starts_.lower_bound({job, 0}) != starts_.upper_bound({job, max_tasks_per_job}))
+                    violate("not_run for " + job + " although a task had started");
+            }
+        }
+        if (facts.complete && facts.task_failed)
+            violate(job + " was answered as complete and as failed");
+    }
+
+    options options_;
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::seconds{1000}};
+    std::uint64_t order_ = 0;
+    std::priority_queue<event> events_;
+    std::vector<std::unique_ptr<owner>> owners_;
+    std::size_t current_ = 0;
+    epoch_number epoch_ = 0;
+    std::map<int, agent> agents_;
+    std::uint64_t incarnations_ = 0;
+    std::set<incarnation> recorded_;
+    std::map<std::pair<std::size_t, int>, link> links_;
+    caller_token next_token_ = 1;
+    std::map<caller_token, caller> callers_;
+    std::map<job_id, job_facts> facts_;
+    std::set<std::pair<job_id, task_index>> starts_;
+    std::size_t complete_answers_ = 0;
+    std::vector<std::string> log_;
+    std::vector<std::string> violations_;
+};
+
+} // namespace persimmonstile
