Add the command line and the status command

Cause: the tool printed its version only, and operators had no view of the entries. Conclusion: a new command is one line in cli/command_list.cpp.

--- /dev/null
+++ b/cli/command_list.cpp
@@ -0,0 +1,22 @@
+#include "cli/command_list.h"
+
+#include "cli/explain_job_command.h"
+#include "cli/status_command.h"
+
+#include <array>
+
+namespace persimmonstile {
+namespace {
+
+constexpr std::array commands{
+    command{"explain job", "show from span files where a job's time went", &run_explain_job},
+    command{"status", "show revision, owner table, agents and load of entries", &run_status},
+};
+
+} // namespace
+
+std::span<const command> command_list() {
+    return commands;
+}
+
+} // namespace persimmonstile
--- a/tests/tracing_test.cpp
+++ b/tests/tracing_test.cpp
@@ -1,14 +1,12 @@
 #include "protocol/daemon_settings.h"
 #include "protocol/traceparent.h"
+#include "tests/one_shot_server.h"
 #include "transport/tracing.h"
 
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <mutex>
 
-#include <asio.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -182,35 +180,15 @@
     EXPECT_EQ(lines, 2U);
 }
 
-// Answers one request with the status, and returns what it received.
-std::string serve_one(asio::ip::tcp::acceptor& acceptor, const std::string& status) {
-    asio::ip::tcp::socket socket = acceptor.accept();
-    std::string received;
-    std::size_t body_end = std::string::npos;
-    while (received.size() < body_end) {
-        std::array<char, 4096> part{};
-        received.append(part.data(), socket.read_some(asio::buffer(part)));
-        const std::size_t header_end = received.find("\r\n\r\n");
-        const std::size_t length = received.find("Content-Length: ");
-        if (header_end != std::string::npos && length != std::string::npos) {
-            body_end = header_end + 4 + std::stoul(received.substr(length + 16));
-        }
-    }
-    asio::write(socket,
-                asio::buffer("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
-    return received;
-}
-
 // Guards against a wrong path or content type at a collector, and against refused requests that count as
 // sent.
 TEST(tracing, posts_to_a_collector) {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    one_shot_server collector;
     manual_clock clock;
     daemon_settings settings;
-    settings.trace_url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+    settings.trace_url = collector.url() + "/";
     tracer spans{make_trace_resource(settings), make_span_sink(settings), clock};
-    auto accepted = std::async(std::launch::async, [&] { return serve_one(acceptor, "200 OK"); });
+    auto accepted = collector.serve("200 OK");
     spans.end(spans.begin(trace_hop::entry, spans.accept("")));
     spans.flush();
     const std::string request = accepted.get();
@@ -219,7 +197,7 @@
     EXPECT_TRUE(json::accept(request.substr(request.find("\r\n\r\n") + 4)));
     EXPECT_EQ(spans.dropped_spans(), 0U);
 
-    auto refused = std::async(std::launch::async, [&] { return serve_one(acceptor, "503 Unavailable"); });
+    auto refused = collector.serve("503 Unavailable");
     spans.end(spans.begin(trace_hop::entry, spans.accept("")));
     spans.flush();
     refused.get();
--- a/transport/http_span_sink.h
+++ b/transport/http_span_sink.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "transport/curl_handle.h"
 #include "transport/span_sink.h"
 
+#include <atomic>
 #include <chrono>
-#include <memory>
+#include <string>
 
 namespace persimmonstile {
 
@@ -11,14 +13,15 @@
 class http_span_sink : public span_sink {
 public:
     // base_url has no "/v1/traces"; timeout bounds one request.
-    http_span_sink(const std::string& base_url, std::chrono::milliseconds timeout);
-    ~http_span_sink() override;
+    http_span_sink(std::string base_url, std::chrono::milliseconds timeout);
 
     bool write(const std::string& request) override;
 
 private:
-    struct connection;
-    std::unique_ptr<connection> connection_;
+    std::string url_;
+    std::chrono::milliseconds timeout_;
+    std::atomic<bool> stopped_ = false;
+    curl_handle client_;
 };
 
 } // namespace persimmonstile
