Count an answer of the backend stand-in before it is sent

Cause: the answer was counted after the write was handed over, so a caller could read the counts before its own answer was in them. Conclusion: counts read after an answer include it.

--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -321,8 +321,8 @@
         release_slot();
         switch (task.fault) {
         case backend_fault::fail:
-            respond(task.request, restinio::status_internal_server_error(), R"({"title":"task failed"})");
             count_finished();
+            respond(task.request, restinio::status_internal_server_error(), R"({"title":"task failed"})");
             return;
         case backend_fault::wrong_task_id:
             answer_as(task, other_task_id(task.id));
@@ -360,13 +360,14 @@
         send_answer(task.request, id, answer_body(id, task.request->body()));
     }
 
+    // Counts first, so that a caller that has its answer finds it in the counts.
     void send_answer(const restinio::request_handle_t& request, const std::string& id, std::string body) {
+        count_finished();
         request->create_response()
             .append_header(restinio::http_field::content_type, std::string{json_type})
             .append_header("Task-Id", id)
             .set_body(std::move(body))
             .done();
-        count_finished();
     }
 
     void swap_answer(running_task task) {
@@ -399,8 +400,8 @@
         response->flush();
         after(late_delay, [this, response, second = raw_answer(task.id, body)] {
             response->append_body(second);
-            response->done();
             count_finished();
+            response->done();
         });
     }
 
