--- a/cli/command_list.cpp
+++ b/cli/command_list.cpp
@@ -1,6 +1,7 @@
 #include "cli/command_list.h"
 
 #include "cli/explain_job_command.h"
+#include "cli/standin_backend_command.h"
 #include "cli/status_command.h"
 
 #include <array>
@@ -11,6 +12,7 @@
 constexpr std::array commands{
     command{"explain job", "show from span files where a job's time went", &run_explain_job},
     command{"status", "show revision, owner table, agents and load of entries", &run_status},
+    command{"standin backend", "run a backend server stand-in", &run_standin_backend},
 };
 
 } // namespace
