--- a/cli/command_line.cpp
+++ b/cli/command_line.cpp
@@ -1,7 +1,7 @@
 #include "cli/command_line.h"
 
 #include "cli/text_table.h"
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 
 #include <exception>
 
@@ -63,7 +63,7 @@
         (is_two_words(item.name) ? two_word_names : one_word_names).emplace_back(item.name);
     }
     if (words.size() > 1) {
-        if (const auto nearest = nearest_name(words[0] + ' ' + words[1], two_word_names)) {
+        if (const auto nearest = closest_name(words[0] + ' ' + words[1], two_word_names)) {
             return "; did you mean \"" + *nearest + "\"?";
         }
     }
@@ -75,7 +75,7 @@
     for (const std::string& name : two_word_names) {
         one_word_names.push_back(name.substr(0, name.find(' ')));
     }
-    if (const auto nearest = nearest_name(words[0], one_word_names)) {
+    if (const auto nearest = closest_name(words[0], one_word_names)) {
         return "; did you mean \"" + *nearest + "\"?";
     }
     return {};
--- a/cli/status_command.cpp
+++ b/cli/status_command.cpp
@@ -2,7 +2,7 @@
 
 #include "cli/text_table.h"
 #include "protocol/finding.h"
-#include "protocol/schema_check.h"
+#include "protocol/schema_findings.h"
 #include "state/ids.h"
 #include "transport/curl_handle.h"
 
--- a/daemon/daemon_options.cpp
+++ b/daemon/daemon_options.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon_options.h"
 
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 #include "protocol/settings_reader.h"
 
 #include <algorithm>
@@ -41,7 +41,7 @@
 
 std::string describe_unknown(const std::string& word) {
     std::string detail = "unknown argument " + word;
-    if (const auto nearest = nearest_name(word.substr(0, word.find('=')), option_names())) {
+    if (const auto nearest = closest_name(word.substr(0, word.find('=')), option_names())) {
         detail += "; the nearest option is " + *nearest;
     }
     return detail;
--- a/protocol/nearest_name.cpp
+++ b/protocol/closest_name.cpp
@@ -1,4 +1,4 @@
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 
 #include <algorithm>
 #include <numeric>
@@ -6,6 +6,9 @@
 namespace persimmonstile {
 namespace {
 
+// Longer texts are no misspelt names, and the distance takes quadratic time.
+constexpr std::size_t max_compared_length = 128;
+
 // Levenshtein distance with one row of the table in memory.
 std::size_t edit_distance(std::string_view left, std::string_view right) {
     std::vector<std::size_t> row(right.size() + 1);
@@ -24,9 +27,12 @@
 
 } // namespace
 
-std::optional<std::string> nearest_name(std::string_view word, const std::vector<std::string>& candidates) {
+std::optional<std::string> closest_name(std::string_view word, const std::vector<std::string>& candidates) {
     std::optional<std::string> nearest;
     std::size_t nearest_distance = 0;
+    if (word.size() > max_compared_length) {
+        return nearest;
+    }
     for (const std::string& candidate : candidates) {
         const std::size_t distance = edit_distance(word, candidate);
         if (distance * 2 > std::max(word.size(), candidate.size())) {
--- a/protocol/schema_check.cpp
+++ b/protocol/schema_findings.cpp
@@ -1,6 +1,6 @@
-#include "protocol/schema_check.h"
+#include "protocol/schema_findings.h"
 
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 
 #include <algorithm>
 #include <set>
@@ -86,7 +86,7 @@
         if (properties.contains(item.key())) {
             continue;
         }
-        const std::optional<std::string> nearest = nearest_name(item.key(), known);
+        const std::optional<std::string> nearest = closest_name(item.key(), known);
         std::string expected = "a known key";
         if (nearest) {
             expected += " (nearest: \"" + *nearest + "\")";
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -1,7 +1,7 @@
 #include "protocol/settings_reader.h"
 
 #include "protocol/ip_endpoint.h"
-#include "protocol/schema_check.h"
+#include "protocol/schema_findings.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -1,5 +1,5 @@
 #include "daemon/daemon_options.h"
-#include "protocol/schema_check.h"
+#include "protocol/schema_findings.h"
 #include "protocol/settings_reader.h"
 
 #include <algorithm>
