--- a/tests/backend_standin_test.cpp
+++ b/tests/backend_standin_test.cpp
@@ -1,7 +1,7 @@
 #include "cli/standin_backend_command.h"
 #include "standins/backend_standin.h"
+#include "tests/scripted_http_server.h"
 
-#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdio>
@@ -188,25 +188,12 @@
 }
 
 // Announcements as an agent receives them.
-class agent_listener {
+class announcement_log {
 public:
-    agent_listener()
-        : acceptor_(context_, {asio::ip::address_v4::loopback(), 0})
-        , thread_([this] { run(); }) {}
-
-    ~agent_listener() {
-        stopped_ = true;
-        asio::ip::tcp::socket wake{context_};
-        wake.connect(acceptor_.local_endpoint());
-        wake.close();
-        thread_.join();
-    }
-
-    agent_listener(const agent_listener&) = delete;
-    agent_listener& operator=(const agent_listener&) = delete;
-
-    std::string url() const {
-        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    void add(const json& announcement) {
+        const std::lock_guard guard{lock_};
+        announcements_[announcement.at("state")] = announcement;
+        arrived_.notify_all();
     }
 
     // Blocks until an announcement with this state has arrived.
@@ -217,46 +204,25 @@
     }
 
 private:
-    void run() {
-        while (!stopped_) {
-            asio::ip::tcp::socket socket{context_};
-            acceptor_.accept(socket);
-            std::string buffer;
-            std::error_code error;
-            while (!error && buffer.find('}') == std::string::npos) {
-                char chunk[512];
-                buffer.append(chunk, socket.read_some(asio::buffer(chunk), error));
-            }
-            if (!error) {
-                const json body = json::parse(buffer.substr(buffer.find('{')));
-                asio::write(socket,
-                            asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
-                const std::lock_guard guard{lock_};
-                announcements_[body.at("state")] = body;
-                arrived_.notify_all();
-            }
-        }
-    }
-
-    asio::io_context context_;
-    asio::ip::tcp::acceptor acceptor_;
-    std::atomic<bool> stopped_{false};
     std::mutex lock_;
     std::condition_variable arrived_;
     std::map<std::string, json> announcements_;
-    std::thread thread_;
 };
 
 // Guards against a stand-in that drops its requests when it is told to stop, or that leaves unannounced.
 TEST(standin_backend_command, announces_leaving_and_finishes_requests_on_sigterm) {
-    agent_listener agent;
+    announcement_log announcements;
+    const scripted_http_server agent{[&](const scripted_request& request) {
+        announcements.add(json::parse(request.body));
+        return scripted_answer{};
+    }};
     std::ostringstream out;
     std::ostringstream err;
     auto ended = std::async(std::launch::async, [&] {
         return run_standin_backend(
             {"--agent", agent.url(), "--service", "forms", "--slots", "3", "--run-ms", "700"}, {out, err});
     });
-    const json announced = agent.wait_for("serving");
+    const json announced = announcements.wait_for("serving");
     EXPECT_EQ(announced.at("service"), "forms");
     EXPECT_EQ(announced.at("slots"), 3);
     EXPECT_EQ(announced.at("connections"), 64);
@@ -269,7 +235,7 @@
         std::this_thread::yield();
     }
     std::raise(SIGTERM);
-    agent.wait_for("leaving");
+    announcements.wait_for("leaving");
     EXPECT_EQ(connection.read().status, 200);
     EXPECT_EQ(ended.get(), exit_done);
 }
