--- a/cli/http_call.cpp
+++ b/cli/http_call.cpp
@@ -26,12 +26,12 @@
 
 } // namespace
 
-std::variant<http_answer, http_call_error> perform(const http_call& call) {
+std::variant<call_answer, call_error> perform(const http_call& call) {
     const curl_handle handle{curl_easy_init(), &curl_easy_cleanup};
     // Expect is removed, because curl would wait for "100 Continue" before it sends a large body.
     curl_headers headers{curl_slist_append(nullptr, "Expect:"), &curl_slist_free_all};
     curl_slist_append(headers.get(), "Content-Type: application/json");
-    http_answer answer;
+    call_answer answer;
     curl_easy_setopt(handle.get(), CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
@@ -46,7 +46,7 @@
     curl_easy_setopt(handle.get(), CURLOPT_CUSTOMREQUEST, call.method.c_str());
     const CURLcode code = curl_easy_perform(handle.get());
     if (code != CURLE_OK) {
-        return http_call_error{curl_easy_strerror(code)};
+        return call_error{curl_easy_strerror(code)};
     }
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &answer.status);
     answer.retry_after = header_of(handle.get(), "Retry-After");
--- a/cli/http_call.h
+++ b/cli/http_call.h
@@ -15,18 +15,18 @@
 };
 
 // Status, Retry-After as sent (empty if absent) and body of an answer.
-struct http_answer {
+struct call_answer {
     long status = 0;
     std::string retry_after;
     std::string body;
 };
 
 // Why no answer arrived.
-struct http_call_error {
+struct call_error {
     std::string detail;
 };
 
 // Performs the call and waits for its answer.
-std::variant<http_answer, http_call_error> perform(const http_call& call);
+std::variant<call_answer, call_error> perform(const http_call& call);
 
 } // namespace persimmonstile
--- a/cli/submit_command.cpp
+++ b/cli/submit_command.cpp
@@ -116,7 +116,7 @@
     return result;
 }
 
-std::variant<http_answer, http_call_error> put_job(const submission& job, std::chrono::milliseconds wait) {
+std::variant<call_answer, call_error> put_job(const submission& job, std::chrono::milliseconds wait) {
     http_call call;
     call.method = "PUT";
     call.url = job.entry + "/v1/jobs/" + job.id + "?wait_ms=" + std::to_string(wait.count());
@@ -127,12 +127,12 @@
 
 // Repeats the same submission until the job has ended, which the job id makes safe. After a lost answer the
 // call is repeated too. Returns the last result.
-std::variant<http_answer, http_call_error> put_until_ended(const submission& job) {
+std::variant<call_answer, call_error> put_until_ended(const submission& job) {
     const steady::time_point deadline = steady::now() + job.timeout;
     while (true) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - steady::now());
         auto result = put_job(job, std::clamp(left, std::chrono::milliseconds{0}, wait_per_call));
-        const auto* answer = std::get_if<http_answer>(&result);
+        const auto* answer = std::get_if<call_answer>(&result);
         const bool is_open = answer != nullptr && answer->status == status_not_ended;
         if (!is_open || steady::now() >= deadline) {
             return result;
@@ -158,7 +158,7 @@
 }
 
 // Problem details and failed outcomes name the reason and the detail.
-int report_failed(const submission& job, const http_answer& answer, const json& outcome,
+int report_failed(const submission& job, const call_answer& answer, const json& outcome,
                   command_output output) {
     if (job.as_json) {
         return exit_findings;
@@ -179,12 +179,12 @@
 int submit(const submission& job, command_output output) {
     const steady::time_point start = steady::now();
     const auto result = put_until_ended(job);
-    if (const auto* error = std::get_if<http_call_error>(&result)) {
+    if (const auto* error = std::get_if<call_error>(&result)) {
         output.err << "no answer from " << job.entry << " for job " << job.id << ": " << error->detail
                    << "; repeat with --id " << job.id << " to learn its outcome\n";
         return exit_findings;
     }
-    const auto& answer = std::get<http_answer>(result);
+    const auto& answer = std::get<call_answer>(result);
     const json outcome = json::parse(answer.body, nullptr, false);
     if (!outcome.is_object()) {
         output.err << "status " << answer.status << " without a JSON object for job " << job.id << '\n';
