Record a span at each hop and flush connections before a daemon ends

Cause: results that an agent reported in its last moments could be lost when the process ended with frames still queued, which turns a completed task into outcome_unknown; spans and message counters were not yet recorded. Before: is_drained looked only at running tasks. After: it also waits until queued frames are written and the peer has closed.

--- a/coordination/agent_actions.h
+++ b/coordination/agent_actions.h
@@ -19,6 +19,8 @@
     std::string url;
     std::string body;
     std::string traceparent;
+    // When the agent accepted the task.
+    time_point accepted;
     time_point give_up;
 };
 
--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -347,6 +347,7 @@
     call.url = server.announced.url;
     call.body = std::move(record.body);
     call.traceparent = job.traceparent;
+    call.accepted = record.accepted;
     call.give_up = job.deadline + give_up_margin;
     record.body.clear();
     actions.calls.push_back(std::move(call));
--- a/coordination/job_actions.h
+++ b/coordination/job_actions.h
@@ -59,7 +59,11 @@
     std::vector<caller_answer> answers;
     std::vector<queue_request> queue;
     std::vector<returned_task> returned;
+    // The submission created a job, rather than meeting one with the same id.
+    bool accepted = false;
     std::vector<ended_job> ended;
+    // Jobs that were forgotten without an outcome: refused, or moved to another owner.
+    std::vector<job_id> dropped;
     // Jobs whose waiting tasks the scheduler must drop.
     std::vector<job_id> withdrawn;
     // Reports that belonged to no outstanding task: late, duplicated or crossed.
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -124,6 +124,7 @@
             }
         }
         actions.withdrawn.push_back(it->first);
+        actions.dropped.push_back(it->first);
         if (record.phase == job_phase::ended)
             retained_bytes_ -= record.retained_bytes;
         else
@@ -169,6 +170,7 @@
     job_record& record = jobs_[request.job];
     record.partition = partition;
     ++active_jobs_;
+    actions.accepted = true;
     start_job(request, record, now, wall_now, actions);
     return actions;
 }
@@ -270,6 +272,7 @@
     if (found == jobs_.end() || found->second.phase != job_phase::admitting)
         return actions;
     answer_callers(job, found->second, reply, actions);
+    actions.dropped.push_back(job);
     --active_jobs_;
     jobs_.erase(found);
     return actions;
--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -43,6 +43,7 @@
     : settings_{std::move(settings)}
     , clock_{clock}
     , self_{new_incarnation(settings_.name)}
+    , tracer_{make_trace_resource(settings_), make_span_sink(settings_), clock}
     , tasks_{self_, settings_.zone, settings_.rack}
     , grantor_{self_, clock.now()}
     , io_{settings_.threads}
@@ -82,11 +83,22 @@
     send_status();
 }
 
-bool agent_daemon::is_drained() const {
+bool agent_daemon::is_drained() {
     if (!draining_)
         return false;
-    const std::lock_guard lock{tasks_mutex_};
-    return tasks_.running() == 0;
+    {
+        const std::lock_guard lock{tasks_mutex_};
+        if (tasks_.running() > 0)
+            return false;
+    }
+    if (performing_ > 0)
+        return false;
+    // The last results must reach their owners before the process ends.
+    if (!closing_.exchange(true)) {
+        dialer_.stop();
+        entries_.close_gracefully();
+    }
+    return entries_.connected().empty();
 }
 
 void agent_daemon::stop() {
@@ -152,24 +164,81 @@
 }
 
 template <typename Event> void agent_daemon::apply(Event event) {
+    ++performing_;
     agent_actions actions;
     {
         const std::lock_guard lock{tasks_mutex_};
         actions = event(tasks_);
     }
     perform(std::move(actions));
+    --performing_;
 }
 
 void agent_daemon::perform(agent_actions actions) {
+    for (backend_call& call : actions.calls)
+        begin_spans(call);
     backends_->start(std::move(actions.calls));
     for (const entry_send& send : actions.sends) {
         metrics_.messages.add(kind_of(send.message));
+        if (const auto* reports = std::get_if<task_reports>(&send.message))
+            count_reports(*reports);
         entries_.send(send.to, send.message);
     }
     if (!actions.fetch_from.name.empty())
         entries_.send(actions.fetch_from, control_message{content_request{0, fleet_.revision()}});
 }
 
+void agent_daemon::count_reports(const task_reports& reports) {
+    for (const task_report& report : reports.reports) {
+        metrics_.tasks.add(report.status);
+        if (report.status == task_status::not_started) {
+            metrics_.refusals.add(report.reason);
+            continue;
+        }
+        metrics_.queue_time.record(report.queue_time());
+        metrics_.run_time.record(report.run_time());
+    }
+}
+
+void agent_daemon::begin_spans(backend_call& call) {
+    if (!tracer_.is_enabled())
+        return;
+    const time_point now = clock_.now();
+    trace_span agent = tracer_.begin(trace_hop::agent, tracer_.accept(call.traceparent));
+    agent.start -= std::chrono::duration_cast<wall_time::duration>(now - call.accepted);
+    agent.started = call.accepted;
+    agent.job = call.job;
+    agent.task = call.index;
+    trace_span inner = tracer_.begin(trace_hop::backend_call, agent.context);
+    inner.job = call.job;
+    inner.task = call.index;
+    inner.peer = call.url;
+    call.traceparent = format_traceparent(inner.context);
+    const std::lock_guard lock{spans_mutex_};
+    spans_.insert_or_assign({call.job, call.index}, task_spans{std::move(agent), std::move(inner)});
+}
+
+void agent_daemon::end_spans(const backend_call& call, const backend_result& result) {
+    if (!tracer_.is_enabled())
+        return;
+    task_spans ended;
+    {
+        const std::lock_guard lock{spans_mutex_};
+        const auto found = spans_.find({call.job, call.index});
+        if (found == spans_.end())
+            return;
+        ended = std::move(found->second);
+        spans_.erase(found);
+    }
+    const bool failed = result.kind != backend_result_kind::answered;
+    ended.call.outcome = failed ? result.text : "succeeded";
+    ended.call.failed = failed;
+    ended.agent.outcome = ended.call.outcome;
+    ended.agent.failed = failed;
+    tracer_.end(std::move(ended.call));
+    tracer_.end(std::move(ended.agent));
+}
+
 void agent_daemon::receive_control(const std::shared_ptr<peer_session>& session,
                                    const control_message& message) {
     frame_connection& connection = *session->connection;
--- a/daemon/agent_daemon.h
+++ b/daemon/agent_daemon.h
@@ -12,8 +12,10 @@
 #include "transport/http_server.h"
 #include "transport/io_threads.h"
 #include "transport/metrics.h"
+#include "transport/tracing.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -38,7 +40,7 @@
     // Starts the graceful shutdown: refuses new tasks, finishes the running ones.
     void begin_shutdown();
     // True when nothing is left to wait for.
-    bool is_drained() const;
+    bool is_drained();
     void stop();
 
 private:
@@ -55,6 +57,9 @@
     // Runs one event on the task table under its lock and performs the actions.
     template <typename Event> void apply(Event event);
     void perform(agent_actions actions);
+    void count_reports(const task_reports& reports);
+    void begin_spans(backend_call& call);
+    void end_spans(const backend_call& call, const backend_result& result);
     void send_status();
     void redial();
     void schedule_tick();
@@ -67,6 +72,7 @@
     const clock_source& clock_;
     incarnation self_;
     daemon_metrics metrics_;
+    tracer tracer_;
     fleet_holder fleet_;
     entry_links entries_;
     mutable std::mutex tasks_mutex_;
@@ -79,9 +85,19 @@
     peer_dialer dialer_;
     std::unique_ptr<backend_client> backends_;
     std::unique_ptr<http_server> http_;
+    // Spans of one task that runs: at the agent, and the call to the backend server within it.
+    struct task_spans {
+        trace_span agent;
+        trace_span call;
+    };
+    std::mutex spans_mutex_;
+    std::map<std::pair<job_id, task_index>, task_spans> spans_;
     time_point last_ping_{};
     std::atomic<bool> draining_{false};
+    std::atomic<bool> closing_{false};
     std::atomic<bool> recorded_{false};
+    // Events whose actions are being performed.
+    std::atomic<int> performing_{0};
     bool stopped_ = false;
 };
 
--- a/daemon/entry_api.cpp
+++ b/daemon/entry_api.cpp
@@ -96,11 +96,12 @@
 
 } // namespace
 
-entry_api::entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics,
+entry_api::entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics, tracer& spans,
                      daemon_view daemon)
     : clock_{clock}
     , desk_{desk}
     , metrics_{metrics}
+    , tracer_{spans}
     , daemon_{std::move(daemon)} {}
 
 void entry_api::handle(const http_request& request, const http_responder& respond) {
@@ -206,12 +207,26 @@
     const time_point received = clock_.now();
     const bool is_submission = asked.kind == caller_request_kind::submit;
     const job_id job = asked.job;
-    desk_.ask(std::move(asked), [this, received, is_submission, job, respond](const job_reply& reply) {
+    trace_span span = tracer_.begin(trace_hop::entry, tracer_.accept(asked.traceparent));
+    span.job = job;
+    if (asked.spec) {
+        span.service = asked.spec->service;
+        span.team = asked.spec->team;
+    }
+    asked.traceparent = format_traceparent(span.context);
+    desk_.ask(std::move(asked), [this, received, is_submission, job, respond, span](const job_reply& reply) {
         if (is_submission && std::holds_alternative<job_outcome>(reply)) {
             metrics_.jobs.add(label_of_reply(reply));
             metrics_.response_time.record(clock_.now() - received);
         }
-        respond(to_http(make_job_response(job, reply)));
+        const job_response response = make_job_response(job, reply);
+        if (tracer_.is_enabled()) {
+            trace_span ended = span;
+            ended.outcome = "HTTP " + std::to_string(response.status);
+            ended.failed = response.status >= 400;
+            tracer_.end(std::move(ended));
+        }
+        respond(to_http(response));
     });
 }
 
--- a/daemon/entry_api.h
+++ b/daemon/entry_api.h
@@ -5,6 +5,7 @@
 #include "state/clock_source.h"
 #include "transport/http_server.h"
 #include "transport/metrics.h"
+#include "transport/tracing.h"
 
 #include <functional>
 #include <string>
@@ -20,7 +21,8 @@
         std::function<bool()> is_ready;
     };
 
-    entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics, daemon_view daemon);
+    entry_api(const clock_source& clock, caller_desk& desk, daemon_metrics& metrics, tracer& spans,
+              daemon_view daemon);
 
     void handle(const http_request& request, const http_responder& respond);
 
@@ -33,6 +35,7 @@
     const clock_source& clock_;
     caller_desk& desk_;
     daemon_metrics& metrics_;
+    tracer& tracer_;
     daemon_view daemon_;
 };
 
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -49,8 +49,13 @@
     : settings_{std::move(settings)}
     , clock_{clock}
     , self_{new_incarnation(settings_.name)}
+    , tracer_{make_trace_resource(settings_), make_span_sink(settings_), clock}
     , agents_{clock}
-    , engine_{clock, agents_, max_retained_bytes,
+    , engine_{clock,
+              agents_,
+              tracer_,
+              metrics_,
+              max_retained_bytes,
               [this](const caller_answer& answer) { desk_.deliver(answer); },
               [](const ended_job&) {
               }}
@@ -79,7 +84,7 @@
         settings_.store_endpoints, settings_.cell, clock_, random_seed(), [this](const std::string& content) {
             asio::post(control_, [this, content] { config_received(content); });
         });
-    api_ = std::make_unique<entry_api>(clock_, desk_, metrics_,
+    api_ = std::make_unique<entry_api>(clock_, desk_, metrics_, tracer_,
                                        entry_api::daemon_view{[this] { return status(); },
                                                               [this] {
                                                                   return ready_ && !draining_;
@@ -106,8 +111,16 @@
     asio::post(control_, [this] { perform(ownership_.leave(clock_.now())); });
 }
 
-bool entry_daemon::is_drained() const {
-    return draining_ && left_ && desk_.waiting_callers() == 0 && http_->open_requests() == 0;
+bool entry_daemon::is_drained() {
+    const bool served = draining_ && left_ && desk_.waiting_callers() == 0 && http_->open_requests() == 0;
+    if (!served)
+        return false;
+    // Answers to other entries must be written before the process ends.
+    if (!closing_.exchange(true)) {
+        dialer_.stop();
+        entries_.close_gracefully();
+    }
+    return entries_.connected().empty();
 }
 
 void entry_daemon::stop() {
--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -16,6 +16,7 @@
 #include "transport/http_server.h"
 #include "transport/io_threads.h"
 #include "transport/metrics.h"
+#include "transport/tracing.h"
 
 #include <atomic>
 #include <memory>
@@ -42,7 +43,7 @@
     // Starts the graceful shutdown: gives the partitions to other entries and answers the callers that wait.
     void begin_shutdown();
     // True when nothing is left to wait for.
-    bool is_drained() const;
+    bool is_drained();
     void stop();
 
 private:
@@ -74,6 +75,7 @@
     const clock_source& clock_;
     incarnation self_;
     daemon_metrics metrics_;
+    tracer tracer_;
     fleet_holder fleet_;
     agent_hub agents_;
     entry_links entries_;
@@ -92,6 +94,7 @@
     std::atomic<bool> draining_{false};
     std::atomic<bool> left_{false};
     std::atomic<bool> ready_{false};
+    std::atomic<bool> closing_{false};
     bool stopped_ = false;
 };
 
--- a/daemon/entry_links.cpp
+++ b/daemon/entry_links.cpp
@@ -58,6 +58,14 @@
         send(entry, message);
 }
 
+void entry_links::close_gracefully() const {
+    const std::lock_guard lock{mutex_};
+    for (const auto& [entry, connections] : links_) {
+        for (const auto& connection : connections)
+            connection->close_gracefully();
+    }
+}
+
 std::vector<incarnation> entry_links::connected() const {
     const std::lock_guard lock{mutex_};
     std::vector<incarnation> result;
--- a/daemon/entry_links.h
+++ b/daemon/entry_links.h
@@ -27,6 +27,9 @@
     bool send(const incarnation& entry, const control_message& message) const;
     void send_to_all(const control_message& message) const;
 
+    // Writes what is queued and ends all connections. They leave the list when they are closed.
+    void close_gracefully() const;
+
     std::vector<incarnation> connected() const;
 
 private:
--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -6,10 +6,12 @@
 
 namespace persimmonstile {
 
-job_engine::job_engine(const clock_source& clock, agent_hub& agents, std::size_t max_retained_bytes,
-                       answer_handler on_answer, ended_handler on_ended)
+job_engine::job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
+                       std::size_t max_retained_bytes, answer_handler on_answer, ended_handler on_ended)
     : clock_{clock}
     , agents_{agents}
+    , tracer_{spans}
+    , metrics_{metrics}
     , on_answer_{std::move(on_answer)}
     , on_ended_{std::move(on_ended)} {
     for (auto& entry : shards_)
@@ -28,13 +30,19 @@
 }
 
 void job_engine::perform(const job_actions& actions) {
-    stray_reports_ += actions.stray_reports;
-    for (const task_send& send : actions.sends)
+    metrics_.wasted_messages.add(message_kind::task_reports, actions.stray_reports);
+    for (const task_send& send : actions.sends) {
+        metrics_.messages.add(kind_of(send.message));
         agents_.send(send.to, send.message);
-    for (const ended_job& ended : actions.ended)
+    }
+    for (const ended_job& ended : actions.ended) {
+        end_span(ended);
         on_ended_(ended);
+    }
     for (const caller_answer& answer : actions.answers)
         on_answer_(answer);
+    for (const job_id& job : actions.dropped)
+        end_span({job, false, failure_reason::not_run, {}, 0});
     if (!actions.withdrawn.empty() || !actions.returned.empty()) {
         const time_point now = clock_.now();
         const std::lock_guard lock{scheduler_mutex_};
@@ -87,7 +95,6 @@
             const std::lock_guard lock{target.mutex};
             actions = target.jobs.assign(chosen, revision(), clock_.now());
         }
-        dispatch_messages_ += actions.sends.size();
         perform(actions);
     }
 }
@@ -121,8 +128,39 @@
                 request.spec->is_request() && service->idempotent_methods.contains(request.spec->method);
         }
     }
-    apply(shard_of(request.job),
-          [&](job_table& jobs) { return jobs.submit(request, clock_.now(), clock_.wall_now()); });
+    trace_span span = tracer_.begin(trace_hop::owner, tracer_.accept(request.traceparent));
+    span.job = request.job;
+    span.service = request.spec->service;
+    span.team = request.spec->team;
+    request.traceparent = format_traceparent(span.context);
+    job_actions actions;
+    {
+        shard& target = shard_of(request.job);
+        const std::lock_guard lock{target.mutex};
+        actions = target.jobs.submit(request, clock_.now(), clock_.wall_now());
+    }
+    if (actions.accepted && tracer_.is_enabled())
+        keep_span(std::move(span));
+    perform(actions);
+    dispatch_waiting();
+}
+
+void job_engine::keep_span(trace_span span) {
+    const std::lock_guard lock{spans_mutex_};
+    const job_id job = span.job;
+    spans_.insert_or_assign(job, std::move(span));
+}
+
+void job_engine::end_span(const ended_job& ended) {
+    const std::lock_guard lock{spans_mutex_};
+    const auto found = spans_.find(ended.job);
+    if (found == spans_.end())
+        return;
+    trace_span span = std::move(found->second);
+    spans_.erase(found);
+    span.outcome = ended.complete ? "complete" : std::string{to_string(ended.reason)};
+    span.failed = !ended.complete;
+    tracer_.end(std::move(span));
 }
 
 void job_engine::lookup(const job_id& job, caller_token token) {
--- a/daemon/job_engine.h
+++ b/daemon/job_engine.h
@@ -5,6 +5,8 @@
 #include "daemon/agent_hub.h"
 #include "state/clock_source.h"
 #include "state/fleet_view.h"
+#include "transport/metrics.h"
+#include "transport/tracing.h"
 
 #include <array>
 #include <atomic>
@@ -12,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
 namespace persimmonstile {
@@ -24,8 +27,8 @@
     using ended_handler = std::function<void(const ended_job&)>;
 
     // max_retained_bytes bounds the memory for ended jobs of all shards.
-    job_engine(const clock_source& clock, agent_hub& agents, std::size_t max_retained_bytes,
-               answer_handler on_answer, ended_handler on_ended);
+    job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
+               std::size_t max_retained_bytes, answer_handler on_answer, ended_handler on_ended);
 
     void gain(const partition_gain& gained);
     void lose(partition_id partition);
@@ -51,8 +54,6 @@
 
     std::size_t active_jobs() const;
     std::size_t waiting_tasks() const;
-    std::size_t stray_reports() const { return stray_reports_; }
-    std::size_t dispatch_messages() const { return dispatch_messages_; }
 
 private:
     static constexpr std::size_t shard_count = 8;
@@ -72,8 +73,13 @@
     void dispatch_waiting();
     config_revision revision() const;
 
+    void keep_span(trace_span span);
+    void end_span(const ended_job& ended);
+
     const clock_source& clock_;
     agent_hub& agents_;
+    tracer& tracer_;
+    daemon_metrics& metrics_;
     answer_handler on_answer_;
     ended_handler on_ended_;
     std::array<std::unique_ptr<shard>, shard_count> shards_;
@@ -82,8 +88,9 @@
     mutable std::mutex fleet_mutex_;
     std::shared_ptr<const fleet_view> fleet_;
     std::atomic<time_point::rep> lease_until_{0};
-    std::atomic<std::size_t> stray_reports_{0};
-    std::atomic<std::size_t> dispatch_messages_{0};
+    std::mutex spans_mutex_;
+    // Spans of the jobs that have not ended.
+    std::unordered_map<job_id, trace_span> spans_;
 };
 
 } // namespace persimmonstile
--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -77,8 +77,9 @@
         closing_ = true;
         if (write_active_)
             return;
+        write_active_ = true;
     }
-    close("closed by this process");
+    asio::post(strand_, [self = shared_from_this()] { self->write_pending(); });
 }
 
 void frame_connection::close(const std::string& reason) {
@@ -132,8 +133,9 @@
         const std::lock_guard lock{mutex_};
         if (pending_.empty()) {
             write_active_ = false;
+            asio::error_code ignored;
             if (closing_)
-                do_close("closed by this process");
+                socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
             return;
         }
         writing_.swap(pending_);
--- a/transport/frame_connection.h
+++ b/transport/frame_connection.h
@@ -35,7 +35,8 @@
     // again on the next connection.
     void send(frame_kind kind, std::string_view payload);
 
-    // Closes after the queued frames are written, within the silence limit.
+    // Takes no more frames, writes the queued ones and ends the sending direction; the peer then closes the
+    // connection. The silence limit ends it if the peer does not.
     void close_gracefully();
     void close(const std::string& reason);
 
