Queue waiting tasks fairly and choose agents through a placement policy

Cause: the first version scanned all agents for each task and all waiting jobs for each report, and withdraw searched the queue linearly. It had no shares, no quotas and no notion of speed or of the load of other entries.

Waiting jobs are now in a start-time fair queue for each service, and the agents with a free place are in the index of a placement policy (random, two random choices, least expected completion, credits), a template parameter.

Quality of the placement is not measured yet.

--- /dev/null
+++ b/bench/scheduler_benchmark.cpp
@@ -0,0 +1,117 @@
+#include "coordination/scheduler.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+namespace persimmonstile {
+namespace {
+
+constexpr std::uint32_t slots = 8;
+const std::string service_name = "form";
+
+job_spec spec_of(std::size_t tasks) {
+    job_spec spec;
+    spec.service = service_name;
+    spec.team = "team";
+    spec.tasks.resize(tasks);
+    return spec;
+}
+
+std::shared_ptr<const fleet_view> fleet_of_one_service() {
+    auto fleet = std::make_shared<fleet_view>();
+    fleet->services[service_name].queue_limit = 10'000'000;
+    fleet->teams["team"];
+    return fleet;
+}
+
+// A scheduler with connected agents that are all busy and jobs of 10 tasks that wait.
+class loaded_scheduler {
+public:
+    loaded_scheduler(std::uint32_t agents, std::uint32_t waiting_jobs) {
+        scheduler_.set_fleet(fleet_of_one_service());
+        for (std::uint32_t i = 0; i < agents; ++i) {
+            agent_status status;
+            status.agent = {"agent-" + std::to_string(i), i + 1};
+            status.services = {{service_name, slots}};
+            scheduler_.agent_changed(status, now_);
+        }
+        top_up(static_cast<std::size_t>(agents) * (slots + 2) + waiting_jobs * tasks_per_job);
+        assign();
+    }
+
+    // One task ends, its agent reports, and the next task is assigned.
+    void complete_one() {
+        now_ += std::chrono::microseconds{10};
+        if (running_.empty())
+            return;
+        const assignment done = running_.front();
+        running_.pop_front();
+        task_report report;
+        report.index = done.tasks.front();
+        report.status = task_status::succeeded;
+        report.run_us = 100'000 + static_cast<std::int64_t>(next_job_ * 7919 % 100'000);
+        scheduler_.task_returned(done.agent, done.job, report, now_);
+        scheduler_.load_reported(done.agent, service_name, {slots, slots - 1, 0}, now_);
+        assign();
+    }
+
+    void top_up(std::size_t tasks) {
+        while (scheduler_.waiting_tasks() < tasks)
+            scheduler_.admit(next_id(), spec_, now_ + std::chrono::hours{1}, now_);
+    }
+
+    job_id next_id() { return "0190163d-8694-739b-aea5-" + std::to_string(100'000'000 + next_job_++); }
+
+    scheduler& target() { return scheduler_; }
+    time_point now() const { return now_; }
+    std::size_t waiting() const { return scheduler_.waiting_tasks(); }
+    const job_spec& spec() const { return spec_; }
+
+    static constexpr std::size_t tasks_per_job = 10;
+
+private:
+    void assign() {
+        for (assignment& each : scheduler_.take_assignments(now_)) {
+            for (const task_index index : each.tasks)
+                running_.push_back({each.job, each.agent, {index}});
+        }
+    }
+
+    scheduler scheduler_;
+    job_spec spec_ = spec_of(tasks_per_job);
+    std::deque<assignment> running_;
+    time_point now_{std::chrono::seconds{1}};
+    std::uint64_t next_job_ = 0;
+};
+
+// Cost of a report and the decision after it. Arguments: agents, waiting jobs.
+void report_and_assign(benchmark::State& state) {
+    loaded_scheduler loaded{static_cast<std::uint32_t>(state.range(0)),
+                            static_cast<std::uint32_t>(state.range(1))};
+    const std::size_t waiting = loaded.waiting();
+    for (auto _ : state) {
+        loaded.complete_one();
+        if (loaded.waiting() + loaded_scheduler::tasks_per_job <= waiting)
+            loaded.top_up(waiting);
+    }
+}
+BENCHMARK(report_and_assign)->ArgsProduct({{11, 100, 1000, 12000}, {100, 10000}});
+
+// Cost of an admission and a cancellation. Argument: waiting jobs.
+void admit_and_withdraw(benchmark::State& state) {
+    loaded_scheduler loaded{11, static_cast<std::uint32_t>(state.range(0))};
+    for (auto _ : state) {
+        const job_id job = loaded.next_id();
+        loaded.target().admit(job, loaded.spec(), loaded.now() + std::chrono::hours{1}, loaded.now());
+        loaded.target().withdraw(job);
+    }
+}
+BENCHMARK(admit_and_withdraw)->Arg(100)->Arg(10000);
+
+} // namespace
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/fair_queue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+// Order of the waiting jobs of one service: start-time fair queuing between teams by share, and within a
+// team single requests before jobs, each in the order of a key. Every operation costs the logarithm of the
+// number of teams or of the team's jobs.
+class fair_queue {
+public:
+    using team_number = std::uint32_t;
+    using job_number = std::uint32_t;
+
+    // Place of a job within its team. The same value must be given to add and remove.
+    struct position {
+        bool is_request = false;
+        double order = 0;
+    };
+
+    struct selection {
+        team_number team = 0;
+        job_number job = 0;
+    };
+
+    void set_share(team_number team, double share);
+    // A blocked team keeps its jobs and is passed over.
+    void set_blocked(team_number team, bool blocked);
+
+    void add(team_number team, job_number job, position where);
+    void remove(team_number team, job_number job, position where);
+
+    // The job whose task comes next.
+    std::optional<selection> next() const;
+    // Accounts for one task taken from the selected job. seconds is its expected run time.
+    void charge(const selection& taken, bool is_request, double seconds);
+    // Corrects an earlier charge once the run time is known.
+    void adjust(team_number team, double seconds);
+
+    // Sum of the shares of the teams with waiting jobs, without the given team.
+    double competing_shares(team_number team) const;
+
+private:
+    using job_set = std::set<std::pair<double, job_number>>;
+
+    struct flow {
+        double share = 1;
+        // Virtual time at which the team's next task starts.
+        double start = 0;
+        bool blocked = false;
+        bool active = false;
+        // Requests taken since the last task of a job, while jobs wait.
+        std::uint32_t consecutive_requests = 0;
+        job_set requests;
+        job_set jobs;
+
+        bool empty() const { return requests.empty() && jobs.empty(); }
+    };
+
+    flow& flow_of(team_number team);
+    void refresh(team_number team, flow& changed);
+    void move_start(team_number team, flow& changed, double start);
+
+    std::vector<flow> flows_;
+    std::set<std::pair<double, team_number>> active_;
+    double virtual_time_ = 0;
+    double active_shares_ = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/placement_least_completion.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "coordination/placement_heap.h"
+#include "coordination/placement_policy.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace persimmonstile {
+
+// The backend server that is expected to complete the task first: the wait for a slot plus the run time.
+// Equal ones are ordered at random, so that several entries do not all prefer the same one.
+class placement_least_completion {
+public:
+    void update(std::uint32_t id, const placement_load& load, std::mt19937_64& random) {
+        const double tasks_ahead = std::max(0.0, load.tasks + 1 - load.slots);
+        const double completion = load.run_seconds * (1 + tasks_ahead / load.slots);
+        heap_.update(id, completion, static_cast<std::uint32_t>(random()));
+    }
+
+    void remove(std::uint32_t id) { heap_.remove(id); }
+
+    std::optional<std::uint32_t> choose(std::mt19937_64&) const { return heap_.top(); }
+
+private:
+    placement_heap heap_;
+};
+
+static_assert(placement_policy<placement_least_completion>);
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/placement_policy.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "coordination/placement_load.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace persimmonstile {
+
+// Chooses among the backend servers of one service that may receive a task now. The scheduler calls update
+// for a backend server that may receive a task whenever its load changes, and remove when it may not.
+// Backend servers are numbered densely from 0. Every operation must stay far below linear cost in their
+// number.
+template <typename policy>
+concept placement_policy = std::default_initializable<policy> &&
+    requires(policy placement, const policy& constant, std::uint32_t id, const placement_load& load,
+             std::mt19937_64& random) {
+    placement.update(id, load, random);
+    placement.remove(id);
+    { constant.choose(random) } -> std::same_as<std::optional<std::uint32_t>>;
+};
+
+} // namespace persimmonstile
--- a/coordination/scheduler.h
+++ b/coordination/scheduler.h
@@ -1,6 +1,12 @@
 #pragma once
 
 #include "coordination/assignment.h"
+#include "coordination/placement_least_completion.h"
+#include "coordination/placement_policy.h"
+#include "coordination/scheduler_agent.h"
+#include "coordination/scheduler_job.h"
+#include "coordination/scheduler_service.h"
+#include "coordination/scheduler_team.h"
 #include "state/agent_load.h"
 #include "state/agent_status.h"
 #include "state/fleet_view.h"
@@ -11,10 +17,11 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
-#include <map>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <queue>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,11 +31,15 @@
 // Holds the waiting tasks of one entry and decides when and where each is sent. It is concerned with
 // performance and fairness only: whether a task may be sent at all is the job table's decision, so an error
 // here cannot start a task twice. Deterministic and without I/O; the caller serialises the calls.
-class scheduler {
+// docs/placement.md explains the rules and their constants.
+template <placement_policy policy> class basic_scheduler {
 public:
-    scheduler() = default;
+    static constexpr std::uint64_t default_seed = 1;
 
-    void set_fleet(std::shared_ptr<const fleet_view> fleet);
+    // The seed only affects the order of equally good backend servers. Entries should use different ones.
+    explicit basic_scheduler(std::uint64_t seed = default_seed);
+
+    void set_fleet(std::shared_ptr<const fleet_view> fleet, time_point now = time_point{});
     // Number of entries that share the cell; each enforces its part of quotas.
     void set_entry_count(std::uint32_t entries);
 
@@ -36,42 +47,101 @@
     // caller.
     std::optional<job_failed> admit(const job_id& job, const job_spec& spec, time_point deadline,
                                     time_point now);
-    // Queues tasks again that an agent did not start, or whose job was rebuilt after a takeover.
+    // Queues tasks again that an agent did not start, or whose job was rebuilt after a takeover. For the
+    // former, task_returned comes first.
     void requeue(const job_id& job, const job_spec& spec, const std::vector<task_index>& tasks,
                  time_point deadline, time_point now);
-    // Drops the waiting tasks of a job that has ended.
+    // Drops the waiting tasks of a job that has ended. Required for every job that ends before all of its
+    // tasks have come back with a status other than not_started.
     void withdraw(const job_id& job);
 
     // An assigned task came back, whatever its status.
     void task_returned(const incarnation& agent, const job_id& job, const task_report& report,
                        time_point now);
+    // The load in a message. Expected after task_returned for the reports of the same message.
     void load_reported(const incarnation& agent, const std::string& service, const agent_load& load,
                        time_point now);
     void agent_changed(const agent_status& status, time_point now);
+    // The connection to the agent is lost. It keeps its assigned tasks and gets no new ones until its next
+    // agent_changed.
+    void agent_disconnected(const incarnation& agent, time_point now);
+    // The agent is given up with all tasks assigned to it.
     void agent_gone(const incarnation& agent, time_point now);
 
     // Assignments that are possible now, one for each job and agent. Tasks leave the queue with it.
     std::vector<assignment> take_assignments(time_point now);
 
+    // When take_assignments has to be called again even if nothing is reported until then.
+    std::optional<time_point> next_wakeup() const;
+
     std::size_t waiting_tasks() const { return waiting_count_; }
 
 private:
-    struct waiting_job {
-        std::string service;
-        std::string team;
-        time_point deadline;
-        std::deque<task_index> tasks;
+    using service_state = scheduler_service<policy>;
+
+    struct incarnation_hash {
+        std::size_t operator()(const incarnation& agent) const { return agent.number; }
+    };
+
+    struct wakeup {
+        time_point time;
+        std::uint32_t service = 0;
+        std::uint32_t backend = 0;
+
+        bool operator>(const wakeup& other) const { return time > other.time; }
     };
-    struct agent_entry {
-        agent_status status;
-        std::uint32_t outstanding = 0;
+
+    struct pending_assignments {
+        std::vector<assignment> list;
+        // Position in the list by job and backend server number.
+        std::unordered_map<std::uint64_t, std::size_t> positions;
     };
 
+    std::uint32_t service_number(const std::string& name);
+    std::uint32_t team_number(const std::string& name);
+    void apply_team_policy(const std::string& name, scheduler_team& team);
+
+    scheduler_job& job_record(const job_id& job, const job_spec& spec, time_point deadline, time_point now);
+    void enqueue(std::uint32_t number);
+    void dequeue(std::uint32_t number);
+    void release_if_done(std::uint32_t number);
+
+    void set_team_running(std::uint32_t team, std::uint32_t running);
+    std::optional<std::uint32_t> backend_of(const scheduler_agent& agent, std::uint32_t service) const;
+    std::uint32_t add_backend(std::uint32_t agent, std::uint32_t service);
+    std::uint32_t own_part(std::uint32_t slots) const;
+    double run_seconds(const service_state& service, const scheduler_backend& backend) const;
+    void refresh(std::uint32_t service, std::uint32_t number, time_point now);
+    void refresh_agent(const scheduler_agent& agent, time_point now);
+    void wake_at(std::uint32_t service, std::uint32_t number, time_point time);
+    void run_wakeups(time_point now);
+    void assign_waiting(std::uint32_t service, pending_assignments& result, time_point now);
+    void assign(std::uint32_t service, std::uint32_t backend, const fair_queue::selection& selected,
+                pending_assignments& result, time_point now);
+    void learn(service_state& service, scheduler_backend& backend, const task_report& report);
+    static void pause_after_refusal(scheduler_backend& backend, time_point now);
+
     std::shared_ptr<const fleet_view> fleet_;
-    std::unordered_map<job_id, waiting_job> jobs_;
-    std::deque<job_id> order_;
-    std::map<incarnation, agent_entry> agents_;
+    std::uint32_t entries_ = 1;
+    std::mt19937_64 random_;
+
+    std::unordered_map<std::string, std::uint32_t> service_numbers_;
+    std::vector<service_state> services_;
+    std::unordered_map<std::string, std::uint32_t> team_numbers_;
+    std::vector<scheduler_team> teams_;
+
+    std::unordered_map<job_id, std::uint32_t> job_numbers_;
+    std::vector<scheduler_job> jobs_;
+    std::vector<std::uint32_t> free_jobs_;
+
+    std::unordered_map<incarnation, std::uint32_t, incarnation_hash> agent_numbers_;
+    std::vector<scheduler_agent> agents_;
+    std::vector<std::uint32_t> free_agents_;
+
+    std::priority_queue<wakeup, std::vector<wakeup>, std::greater<>> wakeups_;
     std::size_t waiting_count_ = 0;
 };
 
+using scheduler = basic_scheduler<placement_least_completion>;
+
 } // namespace persimmonstile
--- /dev/null
+++ b/coordination/scheduler_agent.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "state/incarnation.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+// What the scheduler keeps of an agent.
+struct scheduler_agent {
+    incarnation id;
+    std::string zone;
+    bool connected = false;
+    bool draining = false;
+    bool zone_out = false;
+    // Service number and number of the backend server within the service.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> backends;
+
+    bool takes_tasks() const { return connected && !draining && !zone_out; }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/scheduler_job.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace persimmonstile {
+
+// What the scheduler keeps of a job with waiting or assigned tasks. Tasks that were never assigned are a
+// range, so that a job of many tasks costs no more than a small one.
+struct scheduler_job {
+    const job_id* id = nullptr;
+    std::uint32_t service = 0;
+    std::uint32_t team = 0;
+    bool is_request = false;
+    // Ended; the record stays until its assigned tasks have come back.
+    bool withdrawn = false;
+    // In the fair queue.
+    bool queued = false;
+    time_point deadline;
+    // Place within the team, see fair_queue::position.
+    double order = 0;
+    task_index next = 0;
+    task_index end = 0;
+    std::vector<task_index> returned;
+    std::uint32_t in_flight = 0;
+    // Tasks that came back not started and have not been queued again yet.
+    std::uint32_t awaiting_requeue = 0;
+
+    std::size_t waiting() const { return end - next + returned.size(); }
+
+    // Requires waiting() > 0. Tasks that came back go first.
+    task_index take() {
+        if (returned.empty())
+            return next++;
+        const task_index index = returned.back();
+        returned.pop_back();
+        return index;
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/tests/scheduler_test.cpp
@@ -0,0 +1,266 @@
+#include "coordination/scheduler.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string service_name = "form";
+
+struct scheduler_test : testing::Test {
+    scheduler_test() {
+        fleet.services[service_name];
+        fleet.teams["a"];
+        fleet.teams["b"];
+        publish();
+    }
+
+    void publish() { target.set_fleet(std::make_shared<const fleet_view>(fleet), now); }
+
+    void connect(std::uint64_t number, std::uint32_t slots, const std::string& zone = "north") {
+        agent_status status;
+        status.agent = agent(number);
+        status.zone = zone;
+        status.services = {{service_name, slots}};
+        target.agent_changed(status, now);
+    }
+
+    static incarnation agent(std::uint64_t number) { return {"agent-" + std::to_string(number), number}; }
+
+    static job_spec job_of(std::size_t tasks, const std::string& team = "a") {
+        job_spec spec;
+        spec.service = service_name;
+        spec.team = team;
+        spec.tasks.resize(tasks);
+        return spec;
+    }
+
+    static job_spec request_of(const std::string& team = "a") {
+        job_spec spec = job_of(1, team);
+        spec.method = "lookup";
+        return spec;
+    }
+
+    std::optional<job_failed> admit(const job_id& job, const job_spec& spec,
+                                    std::chrono::milliseconds allowed = 60s) {
+        return target.admit(job, spec, now + allowed, now);
+    }
+
+    void report(const assignment& done, task_index index, task_status status,
+                std::chrono::microseconds run = 100ms, refusal reason = refusal::none) {
+        task_report sent;
+        sent.index = index;
+        sent.status = status;
+        sent.reason = reason;
+        sent.run_us = run.count();
+        target.task_returned(done.agent, done.job, sent, now);
+    }
+
+    void succeed(const std::vector<assignment>& assignments, std::chrono::microseconds run = 100ms) {
+        for (const assignment& each : assignments) {
+            for (const task_index index : each.tasks)
+                report(each, index, task_status::succeeded, run);
+        }
+    }
+
+    static std::size_t count(const std::vector<assignment>& assignments) {
+        std::size_t tasks = 0;
+        for (const assignment& each : assignments)
+            tasks += each.tasks.size();
+        return tasks;
+    }
+
+    time_point now{1000s};
+    fleet_view fleet;
+    scheduler target;
+};
+
+// Guards against a task that is sent twice or lost between the queue and the assignments.
+TEST_F(scheduler_test, assigns_each_task_once) {
+    connect(1, 8);
+    connect(2, 8);
+    ASSERT_FALSE(admit("job", job_of(100)));
+    std::set<task_index> seen;
+    for (int round = 0; round < 100 && seen.size() < 100; ++round) {
+        const auto assignments = target.take_assignments(now);
+        for (const assignment& each : assignments) {
+            for (const task_index index : each.tasks)
+                EXPECT_TRUE(seen.insert(index).second) << index;
+        }
+        now += 100ms;
+        succeed(assignments);
+    }
+    EXPECT_EQ(seen.size(), 100U);
+    EXPECT_EQ(target.waiting_tasks(), 0U);
+}
+
+// Guards against early binding: tasks queue at an agent that turns out to be slow.
+TEST_F(scheduler_test, keeps_at_most_slots_and_prefetch_outstanding) {
+    connect(1, 8);
+    admit("job", job_of(100));
+    EXPECT_LE(count(target.take_assignments(now)), 9U);
+    EXPECT_GE(target.waiting_tasks(), 91U);
+    EXPECT_TRUE(target.take_assignments(now).empty());
+}
+
+// Guards against two messages to one agent for one job.
+TEST_F(scheduler_test, batches_the_tasks_of_a_job_for_an_agent) {
+    connect(1, 8);
+    connect(2, 8);
+    admit("job", job_of(16));
+    std::set<std::pair<job_id, incarnation>> seen;
+    for (const assignment& each : target.take_assignments(now))
+        EXPECT_TRUE(seen.emplace(each.job, each.agent).second);
+}
+
+// Guards against a report that is sent again after a reconnect and frees a second place.
+TEST_F(scheduler_test, ignores_a_repeated_report) {
+    connect(1, 1);
+    admit("job", job_of(10));
+    const auto first = target.take_assignments(now);
+    ASSERT_FALSE(first.empty());
+    report(first[0], first[0].tasks[0], task_status::succeeded);
+    const std::size_t freed = count(target.take_assignments(now));
+    report(first[0], first[0].tasks[0], task_status::succeeded);
+    EXPECT_EQ(freed, 1U);
+    EXPECT_EQ(count(target.take_assignments(now)), 0U);
+}
+
+// Guards against overloading an agent that other entries already keep busy.
+TEST_F(scheduler_test, leaves_room_for_the_tasks_of_other_entries) {
+    target.set_entry_count(2);
+    connect(1, 8);
+    target.load_reported(agent(1), service_name, {8, 8, 0}, now);
+    admit("job", job_of(100));
+    EXPECT_LE(count(target.take_assignments(now)), 4U);
+}
+
+// Guards against a loop of resends to an agent that refuses everything.
+TEST_F(scheduler_test, pauses_an_agent_that_refuses) {
+    connect(1, 8);
+    admit("job", job_of(1));
+    int sent = 0;
+    for (int i = 0; i < 1000; ++i) {
+        for (const assignment& each : target.take_assignments(now)) {
+            ++sent;
+            report(each, 0, task_status::not_started, 0us, refusal::queue_full);
+            target.requeue("job", job_of(1), {0}, now + 60s, now);
+        }
+        now += 1ms;
+    }
+    EXPECT_GE(sent, 3);
+    EXPECT_LE(sent, 12);
+}
+
+// Guards against waiting work that stays forever although its agent may take tasks again.
+TEST_F(scheduler_test, next_wakeup_names_the_end_of_a_pause) {
+    connect(1, 1);
+    admit("job", job_of(1));
+    report(target.take_assignments(now).at(0), 0, task_status::not_started, 0us, refusal::queue_full);
+    target.requeue("job", job_of(1), {0}, now + 60s, now);
+    ASSERT_TRUE(target.take_assignments(now).empty());
+    ASSERT_TRUE(target.next_wakeup());
+    now = *target.next_wakeup();
+    EXPECT_EQ(count(target.take_assignments(now)), 1U);
+}
+
+// Guards against tasks of ended jobs that keep slots busy.
+TEST_F(scheduler_test, withdraw_drops_only_the_waiting_tasks_of_the_job) {
+    connect(1, 1);
+    admit("a", job_of(10));
+    admit("b", job_of(3));
+    target.withdraw("a");
+    EXPECT_EQ(target.waiting_tasks(), 3U);
+    for (const assignment& each : target.take_assignments(now))
+        EXPECT_EQ(each.job, "b");
+}
+
+// Guards against places that stay taken by the tasks of an agent that is gone.
+TEST_F(scheduler_test, a_lost_agent_frees_the_running_count_of_its_team) {
+    fleet.teams["a"].max_running = 2;
+    publish();
+    connect(1, 8);
+    admit("job", job_of(10));
+    EXPECT_EQ(count(target.take_assignments(now)), 2U);
+    target.agent_gone(agent(1), now);
+    connect(2, 8);
+    EXPECT_EQ(count(target.take_assignments(now)), 2U);
+}
+
+// Guards against tasks for an agent that cannot be reached or is leaving.
+TEST_F(scheduler_test, sends_nothing_to_disconnected_draining_or_excluded_agents) {
+    connect(1, 8, "north");
+    connect(2, 8, "south");
+    target.agent_disconnected(agent(1), now);
+    fleet.zones_out.insert("south");
+    publish();
+    admit("job", job_of(4));
+    EXPECT_TRUE(target.take_assignments(now).empty());
+    agent_status status{agent(1), "north", "", true, 0, {{service_name, 8}}};
+    target.agent_changed(status, now);
+    EXPECT_TRUE(target.take_assignments(now).empty());
+    status.draining = false;
+    target.agent_changed(status, now);
+    EXPECT_EQ(count(target.take_assignments(now)), 4U);
+}
+
+// Guards against a request that waits for all tasks of a long job of its team.
+TEST_F(scheduler_test, requests_pass_the_jobs_of_their_team) {
+    connect(1, 1);
+    admit("long", job_of(500));
+    auto running = target.take_assignments(now);
+    admit("short", request_of());
+    now += 100ms;
+    succeed({running.at(0)});
+    bool sent = false;
+    for (const assignment& each : target.take_assignments(now))
+        sent = sent || each.job == "short";
+    EXPECT_TRUE(sent);
+}
+
+// Guards against jobs that never proceed while their team sends requests all the time.
+TEST_F(scheduler_test, requests_do_not_starve_jobs) {
+    connect(1, 1);
+    admit("long", job_of(500));
+    int job_tasks = 0;
+    for (int i = 0; i < 100; ++i) {
+        admit("request-" + std::to_string(2 * i), request_of());
+        admit("request-" + std::to_string(2 * i + 1), request_of());
+        const auto assignments = target.take_assignments(now);
+        for (const assignment& each : assignments)
+            job_tasks += each.job == "long" ? 1 : 0;
+        now += 100ms;
+        succeed(assignments);
+    }
+    EXPECT_GE(job_tasks, 15);
+}
+
+// Guards against a share that depends on the number of jobs a team submits instead of its weight.
+TEST_F(scheduler_test, shares_divide_a_contended_service) {
+    fleet.teams["a"].share = 3;
+    publish();
+    connect(1, 8);
+    for (int i = 0; i < 10; ++i)
+        admit("b-" + std::to_string(i), job_of(100, "b"));
+    admit("a", job_of(500, "a"));
+    std::map<std::string, int> tasks;
+    for (int round = 0; round < 50; ++round) {
+        const auto assignments = target.take_assignments(now);
+        for (const assignment& each : assignments)
+            tasks[each.job.substr(0, 1)] += static_cast<int>(each.tasks.size());
+        now += 100ms;
+        succeed(assignments);
+    }
+    EXPECT_NEAR(tasks["a"], 3 * tasks["b"], 30);
+}
+
+} // namespace
+} // namespace persimmonstile
