--- a/bench/scheduler_benchmark.cpp
+++ b/bench/scheduler_benchmark.cpp
@@ -1,10 +1,16 @@
+#include "coordination/placement_credits.h"
+#include "coordination/placement_random.h"
+#include "coordination/placement_two_choices.h"
 #include "coordination/scheduler.h"
+#include "tests/scheduler_simulation.h"
 
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <benchmark/benchmark.h>
 
@@ -113,5 +119,82 @@
 }
 BENCHMARK(admit_and_withdraw)->Arg(100)->Arg(10000);
 
+// Quality of the placement: 11 backend servers of speeds 1 to 4, 3 entries, fixed seeds, simulated time.
+// Argument: load in percent. The counters are averages over the seeds:
+//   p50, p99      quantiles of the response time relative to those of the ideal, over completed jobs
+//   request_p99   the same, over single requests only
+//   goodput       work of the jobs that end in the last two thirds of the run, relative to the capacity
+//   wasted        tasks that agents refused, relative to all tasks sent, in percent
+//   late, refused jobs that missed the deadline after admission or were refused, in percent
+template <placement_policy policy> void compare_policies(benchmark::State& state) {
+    constexpr int seeds = 5;
+    std::map<std::string, double> sums;
+    for (auto _ : state) {
+        for (int seed = 1; seed <= seeds; ++seed) {
+            const auto agents = eleven_agents();
+            workload load;
+            load.work_per_second = capacity_of(agents) * static_cast<double>(state.range(0)) / 100;
+            load.seed = static_cast<std::uint32_t>(seed);
+            const auto trace = make_trace(load);
+            const auto ideal = ideal_responses(trace, agents);
+            scheduler_simulation<policy> run{agents, load.entries, simulated_fleet()};
+            const time_point start = run.now;
+            run.submit_all(trace);
+            run.run_until(start + load.duration + load.deadline);
+
+            std::vector<double> responses;
+            std::vector<double> ideals;
+            std::vector<double> requests;
+            std::vector<double> ideal_requests;
+            double useful = 0;
+            double late = 0;
+            double refused = 0;
+            for (std::size_t i = 0; i < trace.size(); ++i) {
+                const simulated_outcome& outcome = run.outcomes[i];
+                refused += outcome.refused ? 1 : 0;
+                late += !outcome.refused && !outcome.response ? 1 : 0;
+                if (!outcome.response)
+                    continue;
+                responses.push_back(*outcome.response);
+                ideals.push_back(ideal[i]);
+                if (trace[i].spec.is_request()) {
+                    requests.push_back(*outcome.response);
+                    ideal_requests.push_back(ideal[i]);
+                }
+                const time_point end =
+                    trace[i].arrival + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                           std::chrono::duration<double>{*outcome.response});
+                const bool counted = end >= start + load.duration / 3 && end < start + load.duration;
+                for (const double work : trace[i].work)
+                    useful += counted ? work : 0;
+            }
+            const auto jobs = static_cast<double>(trace.size());
+            const double seconds = std::chrono::duration<double>{load.duration}.count();
+            sums["p50"] += quantile(responses, 0.5) / quantile(ideals, 0.5);
+            sums["p99"] += quantile(responses, 0.99) / quantile(ideals, 0.99);
+            sums["request_p99"] += quantile(requests, 0.99) / quantile(ideal_requests, 0.99);
+            sums["goodput"] += useful / (capacity_of(agents) * seconds * 2 / 3);
+            sums["wasted"] += 100.0 * static_cast<double>(run.wasted) / static_cast<double>(run.tasks_sent);
+            sums["late"] += 100 * late / jobs;
+            sums["refused"] += 100 * refused / jobs;
+        }
+    }
+    for (const auto& [name, sum] : sums)
+        state.counters[name] = sum / seeds;
+}
+#define COMPARE(policy)                                                                                      \
+    BENCHMARK(compare_policies<policy>)                                                                      \
+        ->Arg(30)                                                                                            \
+        ->Arg(70)                                                                                            \
+        ->Arg(90)                                                                                            \
+        ->Arg(120)                                                                                           \
+        ->Iterations(1)                                                                                      \
+        ->Unit(benchmark::kMillisecond)
+COMPARE(placement_random);
+COMPARE(placement_two_choices);
+COMPARE(placement_credits);
+COMPARE(placement_least_completion);
+#undef COMPARE
+
 } // namespace
 } // namespace persimmonstile
--- /dev/null
+++ b/coordination/admission.cpp
@@ -0,0 +1,110 @@
+#include "coordination/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmonstile {
+
+namespace {
+
+// Agents connect within a second of their start; a new entry learns of them in that time.
+constexpr std::chrono::milliseconds not_yet_known_retry{200};
+// Backend servers that are gone need a restart or an operator.
+constexpr std::chrono::milliseconds none_left_retry{2000};
+
+constexpr std::chrono::milliseconds shortest_retry{100};
+constexpr std::chrono::milliseconds longest_retry{30000};
+
+// A team may fill this multiple of the free places. One team alone can hold 80% of the queue, k teams
+// together 4k/(4k+1), and a team with an empty queue always finds room.
+constexpr double queue_part_factor = 4;
+
+job_failed refuse(std::string detail, std::chrono::milliseconds retry_after, bool at_capacity) {
+    return {failure_reason::not_run, std::move(detail), retry_after.count(), at_capacity};
+}
+
+job_failed refuse_for_good(std::string detail) {
+    return refuse(std::move(detail), std::chrono::milliseconds{0}, false);
+}
+
+std::chrono::milliseconds retry_hint(double seconds) {
+    const double limited = std::min(seconds, std::chrono::duration<double>{longest_retry}.count());
+    const std::chrono::milliseconds hint{std::llround(limited * 1000)};
+    return std::max(hint, shortest_retry);
+}
+
+// Upper bound on the time until the last task of the job starts, in seconds.
+double expected_wait(const admission_load& load, std::size_t tasks) {
+    const auto own = static_cast<double>(tasks);
+    const double rate = std::max(load.rate, 1e-9);
+    const double after_all = (static_cast<double>(load.service_waiting) + own) / rate;
+    const double after_team = (load.team_ahead + own) / (rate * load.team_part);
+    // Later, smaller jobs pass the job while it waits, but for no longer than the passing time.
+    const double undisturbed = std::min(after_all, after_team);
+    const double while_waiting = undisturbed / (1 - std::min(load.smaller_load, 0.99));
+    const double while_passing = undisturbed + load.smaller_load * load.passing_time * own / rate;
+    const double wait = std::min(while_waiting, while_passing);
+    if (load.team_rate_limit <= 0)
+        return wait;
+    return std::max(wait, (load.team_ahead + own) / load.team_rate_limit);
+}
+
+} // namespace
+
+std::optional<job_failed> check_runnable(const fleet_view* fleet, const job_spec& spec,
+                                         service_presence presence) {
+    if (fleet == nullptr)
+        return refuse("the configuration is not known yet", not_yet_known_retry, false);
+    const service_policy* service = fleet->find_service(spec.service);
+    if (service == nullptr)
+        return refuse_for_good("unknown service '" + spec.service + "'");
+    if (!spec.team.empty() && fleet->find_team(spec.team) == nullptr)
+        return refuse_for_good("unknown team '" + spec.team + "'");
+    if (spec.tasks.size() > service->max_tasks)
+        return refuse_for_good("the job has " + std::to_string(spec.tasks.size()) + " tasks, service '" +
+                               spec.service + "' allows " + std::to_string(service->max_tasks));
+    if (spec.tasks.size() > service->queue_limit)
+        return refuse_for_good("the job has more tasks than the queue of service '" + spec.service +
+                               "' holds");
+    if (presence == service_presence::not_yet_known)
+        return refuse("no agent of service '" + spec.service + "' has connected yet", not_yet_known_retry,
+                      false);
+    if (presence == service_presence::none_left)
+        return refuse("no agent serves '" + spec.service + "' any more", none_left_retry, false);
+    return std::nullopt;
+}
+
+std::optional<job_failed> check_queue(const admission_load& load, std::uint32_t queue_limit,
+                                      std::size_t tasks) {
+    const std::size_t room = queue_limit - std::min<std::size_t>(queue_limit, load.service_waiting);
+    const double team_room = load.shares_queue ? queue_part_factor * static_cast<double>(room) -
+                                                     static_cast<double>(load.team_waiting)
+                                               : static_cast<double>(room);
+    const auto wanted = static_cast<double>(tasks);
+    if (tasks <= room && wanted <= team_room)
+        return std::nullopt;
+    const double excess = wanted - std::min(static_cast<double>(room), team_room);
+    const std::string owner = tasks > room ? "the queue of the service" : "the team's part of the queue";
+    return refuse(owner + " is full", retry_hint(excess / std::max(load.rate, 1e-9)), true);
+}
+
+std::optional<job_failed> check_deadline(const admission_load& load, std::size_t tasks,
+                                         std::chrono::nanoseconds time_left) {
+    if (load.run_seconds <= 0)
+        return std::nullopt;
+    const double left = std::chrono::duration<double>{time_left}.count();
+    const double finish = expected_wait(load, tasks) + load.run_seconds;
+    if (finish <= left)
+        return std::nullopt;
+    admission_load idle = load;
+    idle.service_waiting = 0;
+    idle.team_waiting = 0;
+    idle.team_ahead = 0;
+    idle.team_part = 1;
+    idle.smaller_load = 0;
+    const bool fits_when_idle = expected_wait(idle, tasks) + load.run_seconds <= left;
+    return refuse("the job is not expected to end before its deadline", retry_hint(finish - left),
+                  fits_when_idle);
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/admission_job_mix.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coordination/fair_queue.h"
+
+#include <array>
+#include <cstddef>
+
+namespace persimmonstile {
+
+// How the tasks of recent jobs are distributed over the size classes.
+class admission_job_mix {
+public:
+    void add(std::size_t size_class, std::size_t tasks) {
+        counts_[size_class] += static_cast<double>(tasks);
+        total_ += static_cast<double>(tasks);
+        if (total_ < remembered_tasks)
+            return;
+        for (double& count : counts_)
+            count /= 2;
+        total_ /= 2;
+    }
+
+    // Part of the tasks that belong to jobs of smaller classes.
+    double part_below(std::size_t size_class) const {
+        double below = 0;
+        for (std::size_t i = 0; i < size_class; ++i)
+            below += counts_[i];
+        return total_ > 0 ? below / total_ : 0;
+    }
+
+private:
+    // Some tens of the largest jobs, so that a single one does not change the picture.
+    static constexpr double remembered_tasks = 20000;
+
+    std::array<double, fair_queue::size_classes> counts_{};
+    double total_ = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/ejection.cpp
@@ -0,0 +1,122 @@
+#include "coordination/ejection.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace persimmonstile {
+
+namespace {
+
+// The run of failures that ejects must be rarer than this by chance.
+constexpr double chance_limit = 1e-3;
+constexpr std::uint32_t fewest_failures = 3;
+constexpr std::uint32_t most_failures = 20;
+
+// Failures in a row after which the window restarts from one task.
+constexpr std::uint32_t failures_to_restart = 2;
+
+// The failure ratio is an average over about this many of the last tasks.
+constexpr float failure_weight = 1.0F / 16;
+
+// A probe is a caller's task and is lost if the backend server is still defective, so probes become rare
+// quickly. A silent backend server costs the caller the whole deadline, so its first probe comes late.
+constexpr std::chrono::seconds first_backoff{1};
+constexpr std::chrono::seconds first_backoff_after_silence{5};
+constexpr std::chrono::seconds longest_backoff{60};
+
+// This many successes after a readmission end the memory of earlier ejections.
+constexpr std::uint32_t successes_to_forget = 50;
+
+// Pause after a refusal; doubles with every refusal until a task succeeds.
+constexpr std::chrono::milliseconds first_pause{5};
+constexpr std::chrono::milliseconds longest_pause{1000};
+
+// A ceiling is tried again after this time, in steps that double until the next refusal. With 8 slots and
+// tasks of 200 ms that is one refusal in 80 tasks of this backend server.
+constexpr std::chrono::seconds ceiling_interval{2};
+constexpr std::uint32_t no_ceiling = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace
+
+void ejection::start_with(std::uint32_t window) {
+    window_ = window;
+    ceiling_ = no_ceiling;
+}
+
+void ejection::succeeded(time_point now) {
+    failures_in_a_row_ = 0;
+    consecutive_failures_ = 0;
+    failure_ratio_ -= failure_weight * failure_ratio_;
+    pause_ = std::chrono::nanoseconds{0};
+    if (++successes_ >= successes_to_forget)
+        backoff_ = std::chrono::nanoseconds{0};
+    if (ceiling_ != no_ceiling && now - ceiling_raised_ >= ceiling_interval) {
+        ceiling_ += ceiling_step_;
+        ceiling_step_ *= 2;
+        ceiling_raised_ = now;
+    }
+    // Beyond this the slots are the bound, and the window must not overflow.
+    constexpr std::uint32_t largest_window = 1U << 20;
+    window_ = std::min({window_ + 1, ceiling_, largest_window});
+}
+
+void ejection::failed(bool same_job) {
+    // The fast failures of a defective backend server must not free places for more work.
+    if (++failures_in_a_row_ >= failures_to_restart)
+        window_ = 1;
+    if (same_job)
+        return;
+    ++consecutive_failures_;
+    failure_ratio_ += failure_weight * (1 - failure_ratio_);
+}
+
+void ejection::refused(bool queue_full, std::uint32_t others, time_point now) {
+    if (queue_full) {
+        ceiling_ = std::max<std::uint32_t>(others, 1);
+        ceiling_step_ = 1;
+        ceiling_raised_ = now;
+        window_ = std::min(window_, ceiling_);
+    } else {
+        window_ = 1;
+    }
+    // Several refusals of one batch count as one.
+    if (now < paused_until_)
+        return;
+    pause_ = std::clamp<std::chrono::nanoseconds>(2 * pause_, first_pause, longest_pause);
+    paused_until_ = now + pause_;
+}
+
+bool ejection::fails_everything(double usual_ratio) const {
+    const double ratio = std::clamp(usual_ratio, 0.01, 0.9);
+    const double needed = std::ceil(std::log(chance_limit) / std::log(ratio));
+    const auto limit = std::clamp(static_cast<std::uint32_t>(needed), fewest_failures, most_failures);
+    return consecutive_failures_ >= limit;
+}
+
+void ejection::eject(ejection_cause cause, time_point now) {
+    cause_ = cause;
+    successes_ = 0;
+    window_ = 1;
+    lengthen_backoff();
+    probe_at_ = now + backoff_;
+}
+
+void ejection::probe_sent(time_point now) {
+    lengthen_backoff();
+    probe_at_ = now + backoff_;
+}
+
+void ejection::lengthen_backoff() {
+    const auto first = cause_ == ejection_cause::silence ? first_backoff_after_silence : first_backoff;
+    backoff_ = std::clamp<std::chrono::nanoseconds>(2 * backoff_, first, longest_backoff);
+}
+
+void ejection::readmit(std::uint32_t window) {
+    cause_ = ejection_cause::none;
+    failures_in_a_row_ = 0;
+    consecutive_failures_ = 0;
+    window_ = std::min(window, ceiling_);
+}
+
+} // namespace persimmonstile
--- a/coordination/fair_queue.cpp
+++ b/coordination/fair_queue.cpp
@@ -1,7 +1,9 @@
 #include "coordination/fair_queue.h"
 
 #include <algorithm>
+#include <bit>
 #include <cstddef>
+#include <numeric>
 
 namespace persimmonstile {
 
@@ -11,6 +13,11 @@
 // them.
 constexpr std::uint32_t requests_per_job_task = 4;
 
+// Middle of the range of sizes of a class.
+double typical_size(std::size_t size_class) {
+    return size_class == 0 ? 1 : 0.75 * static_cast<double>(std::size_t{1} << size_class);
+}
+
 } // namespace
 
 fair_queue::flow& fair_queue::flow_of(team_number team) {
@@ -94,6 +101,40 @@
     move_start(team, changed, std::max(start, virtual_time_));
 }
 
+std::size_t fair_queue::size_class(bool is_request, std::size_t tasks) {
+    return is_request ? 0 : std::min<std::size_t>(std::bit_width(tasks), size_classes - 1);
+}
+
+void fair_queue::change_waiting(team_number team, std::size_t size_class, std::int64_t difference) {
+    std::uint32_t& count = flow_of(team).waiting[size_class];
+    count = static_cast<std::uint32_t>(count + difference);
+}
+
+std::size_t fair_queue::waiting(team_number team) const {
+    if (team >= flows_.size())
+        return 0;
+    const auto& counts = flows_[team].waiting;
+    return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
+}
+
+double fair_queue::waiting_before(team_number team, std::size_t size_class, double order_per_task,
+                                  double longest_wait) const {
+    if (team >= flows_.size())
+        return 0;
+    const auto& counts = flows_[team].waiting;
+    double before = 0;
+    for (std::size_t other = 0; other < size_classes; ++other) {
+        const double more_tasks = typical_size(other) - typical_size(size_class);
+        const double needed_wait = order_per_task * more_tasks;
+        // A request never waits for the jobs of its team.
+        if (other <= size_class)
+            before += counts[other];
+        else if (size_class > 0 && needed_wait < longest_wait)
+            before += counts[other] * (1 - needed_wait / longest_wait);
+    }
+    return before;
+}
+
 double fair_queue::competing_shares(team_number team) const {
     const bool counted = team < flows_.size() && flows_[team].active;
     return active_shares_ - (counted ? flows_[team].share : 0);
--- a/coordination/fair_queue.h
+++ b/coordination/fair_queue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -41,6 +43,19 @@
     // Corrects an earlier charge once the run time is known.
     void adjust(team_number team, double seconds);
 
+    // Classes of jobs by their number of tasks, in powers of two. Class 0 holds the single requests.
+    static constexpr std::size_t size_classes = 12;
+    static std::size_t size_class(bool is_request, std::size_t tasks);
+
+    // Counts waiting tasks of the team, by the size class of their job.
+    void change_waiting(team_number team, std::size_t size_class, std::int64_t difference);
+    std::size_t waiting(team_number team) const;
+    // Expected number of waiting tasks that go before a new job of the class. Jobs of a larger class do so if
+    // they have waited for the difference of their orders: order_per_task for each task that they have more.
+    // The waiting ones have waited for up to longest_wait. Both in the unit of position::order.
+    double waiting_before(team_number team, std::size_t size_class, double order_per_task,
+                          double longest_wait) const;
+
     // Sum of the shares of the teams with waiting jobs, without the given team.
     double competing_shares(team_number team) const;
 
@@ -55,6 +70,7 @@
         bool active = false;
         // Requests taken since the last task of a job, while jobs wait.
         std::uint32_t consecutive_requests = 0;
+        std::array<std::uint32_t, size_classes> waiting{};
         job_set requests;
         job_set jobs;
 
--- a/coordination/scheduler.cpp
+++ b/coordination/scheduler.cpp
@@ -15,19 +15,47 @@
 // A round trip of 3 ms is 6% of the shortest usual task (50 ms), so one task per agent is enough.
 constexpr std::uint32_t prefetch_per_agent = 1;
 
+// Part of the places beyond its own that an entry uses when other entries share the agent. With all of them,
+// entries that see the same free places send too much at the same time: 1.5% of the tasks were refused at 70%
+// load with three entries, 0.1% with this part.
+constexpr double shared_part = 0.75;
+
 // Run time assumed before the first task of a service has ended.
 constexpr double initial_run_seconds = 0.3;
 
-// The mean run time of a service is an average over about this many of the last tasks.
-constexpr double mean_weight = 1.0 / 64;
+// A mean run time is an average over about this many of the last tasks.
+constexpr std::uint32_t averaged_run_times = 64;
 
 // How much longer a job waits behind smaller ones of its team, as a multiple of the time that it takes
-// alone. Bounds the wait of large jobs while small ones keep a low response time relative to the ideal.
-constexpr double size_penalty = 4;
+// alone. Bounds the wait of large jobs while small ones keep a low response time relative to the ideal. At
+// 120% load a factor of 16 completes 98% of the capacity in time, a factor of 4 only 92% (docs/placement.md).
+constexpr double size_penalty = 16;
+
+// A job is given up early only if it clearly needs more than the time left, because the rate is an estimate.
+constexpr double hopeless_margin = 0.8;
+
+// Samples of a task class before deadlines are judged by its mean run time.
+constexpr std::uint32_t samples_to_judge = 8;
+
+// A job that would miss its deadline even on an idle system is admitted once in this time, so that a mean
+// run time that is no longer true is corrected.
+constexpr std::chrono::seconds doubt_interval{1};
+
+// Methods come from callers, so their number must be bounded. Further ones are judged like jobs.
+constexpr std::size_t most_task_classes = 64;
+
+// Backend servers differ in speed by a factor of 4. One that is this much slower than the typical one is
+// defective, and a task on it would take longer than waiting for another one.
+constexpr double slowness_limit = 6;
+constexpr std::uint32_t samples_for_slowness = 3;
+constexpr double usual_ratio_limit = 2;
 
-// Pause after a refusal; doubles with every refusal until a task succeeds.
-constexpr std::chrono::milliseconds first_pause{5};
-constexpr std::chrono::milliseconds longest_pause{1000};
+// A backend server with one task is taken for silent after this multiple of the mean run time, and with k
+// tasks after the k-th part of it. With exponential run times, a healthy one is silent for so long with a
+// probability of exp(-16). One more mean run time is allowed for tasks that queue behind those of others.
+constexpr double silence_factor = 16;
+constexpr double shortest_silence_seconds = 1;
+constexpr std::chrono::seconds silence_check_interval{1};
 
 // Load of other entries is believed for the time of one task, but at least for this long.
 constexpr double shortest_load_half_life_seconds = 0.02;
@@ -36,6 +64,10 @@
     return std::chrono::duration<double>{to - from}.count();
 }
 
+double run_weight(std::uint32_t samples) {
+    return 1.0 / std::min(samples + 1, averaged_run_times);
+}
+
 time_point after_seconds(time_point from, double seconds) {
     return from +
            std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>{seconds});
@@ -61,6 +93,9 @@
         if (zone_out == agent.zone_out)
             continue;
         agent.zone_out = zone_out;
+        // Backend servers of a zone that returns are loaded again step by step.
+        for (const auto& [service, backend] : agent.backends)
+            services_[service].backends[backend].health.start_with(1);
         refresh_agent(agent, now);
     }
 }
@@ -76,14 +111,91 @@
 template <placement_policy policy>
 std::optional<job_failed> basic_scheduler<policy>::admit(const job_id& job, const job_spec& spec,
                                                          time_point deadline, time_point now) {
+    if (auto refused = check_runnable(fleet_.get(), spec, presence_of(spec.service)))
+        return refused;
+    if (auto refused = check_capacity(spec, deadline, now))
+        return refused;
     scheduler_job& record = job_record(job, spec, deadline, now);
+    // Already queued; the job table filters resubmissions.
+    if (record.end > 0)
+        return std::nullopt;
     record.end = static_cast<task_index>(spec.tasks.size());
-    services_[record.service].waiting += record.end;
-    waiting_count_ += record.end;
+    change_waiting(record, record.end);
+    service_state& service = services_[record.service];
+    service.task_classes[record.task_class].last_admitted = now;
+    service.mix.add(record.size_class, spec.tasks.size());
+    // Averaged over arrivals, which sees the same load as an average over time.
+    const double places = std::max(true_rate(service) * mean_or_initial(service), 1.0);
+    const double busy = std::min(1.0, static_cast<double>(service.in_flight) / places);
+    service.busy += (busy - service.busy) / averaged_run_times;
     enqueue(job_numbers_.at(job));
     return std::nullopt;
 }
 
+template <placement_policy policy>
+service_presence basic_scheduler<policy>::presence_of(const std::string& service) const {
+    const auto found = service_numbers_.find(service);
+    if (found == service_numbers_.end() || !services_[found->second].was_served)
+        return service_presence::not_yet_known;
+    return services_[found->second].serving > 0 ? service_presence::serving : service_presence::none_left;
+}
+
+template <placement_policy policy>
+admission_load basic_scheduler<policy>::load_for(const job_spec& spec) const {
+    const service_state& service = services_[service_numbers_.at(spec.service)];
+    const std::size_t size = fair_queue::size_class(spec.is_request(), spec.tasks.size());
+    admission_load load;
+    load.service_waiting = service.waiting;
+    load.shares_queue = fleet_->teams.size() > 1;
+    load.rate = true_rate(service);
+    load.smaller_load = service.busy * service.mix.part_below(size);
+    load.passing_time = size_penalty;
+    const auto kind_found = service.class_by_method.find(spec.method);
+    const std::size_t kind = kind_found == service.class_by_method.end() ? 0 : kind_found->second;
+    if (service.task_classes[kind].samples >= samples_to_judge)
+        load.run_seconds = service.task_classes[kind].mean_seconds;
+
+    const auto team = team_numbers_.find(spec.team);
+    if (team == team_numbers_.end())
+        return load;
+    const scheduler_team& state = teams_[team->second];
+    load.team_waiting = service.queue.waiting(team->second);
+    load.team_part = state.share / (state.share + service.queue.competing_shares(team->second));
+    load.team_rate_limit = state.max_running / mean_or_initial(service);
+    const double rate = std::max(load.rate, 1.0);
+    const double longest_wait = static_cast<double>(load.team_waiting) / (rate * load.team_part);
+    load.team_ahead = service.queue.waiting_before(team->second, size, size_penalty / rate, longest_wait);
+    return load;
+}
+
+template <placement_policy policy>
+double basic_scheduler<policy>::mean_or_initial(const service_state& service) {
+    return service.mean_seconds > 0 ? service.mean_seconds : initial_run_seconds;
+}
+
+// Tasks per second that this entry can complete. The sum of the backend servers' rates is one of typical
+// tasks; long tasks raise the mean above the typical run time.
+template <placement_policy policy> double basic_scheduler<policy>::true_rate(const service_state& service) {
+    if (service.mean_seconds == 0)
+        return service.rate;
+    return service.rate * service.typical.value_or(service.mean_seconds) / service.mean_seconds;
+}
+
+template <placement_policy policy>
+std::optional<job_failed> basic_scheduler<policy>::check_capacity(const job_spec& spec, time_point deadline,
+                                                                  time_point now) {
+    const admission_load load = load_for(spec);
+    const std::uint32_t queue_limit = fleet_->find_service(spec.service)->queue_limit;
+    if (auto refused = check_queue(load, queue_limit, spec.tasks.size()))
+        return refused;
+    auto refused = check_deadline(load, spec.tasks.size(), deadline - now);
+    if (!refused || refused->at_capacity)
+        return refused;
+    service_state& service = services_[service_numbers_.at(spec.service)];
+    const scheduler_task_class& kind = service.task_classes[task_class(service, spec.method)];
+    return now - kind.last_admitted >= doubt_interval ? std::nullopt : refused;
+}
+
 template <placement_policy policy>
 void basic_scheduler<policy>::requeue(const job_id& job, const job_spec& spec,
                                       const std::vector<task_index>& tasks, time_point deadline,
@@ -93,12 +205,35 @@
     scheduler_job& record = job_record(job, spec, deadline, now);
     const auto count = static_cast<std::uint32_t>(tasks.size());
     record.awaiting_requeue -= std::min(record.awaiting_requeue, count);
-    record.returned.insert(record.returned.end(), tasks.rbegin(), tasks.rend());
-    services_[record.service].waiting += count;
-    waiting_count_ += count;
+    const std::uint32_t retries = std::min(record.retries, count);
+    record.retries -= retries;
+    const std::uint32_t granted = held_jobs_.empty() ? retry_budget_.take(retries, now) : 0;
+    const std::uint32_t held = retries - granted;
+    if (held > 0)
+        held_jobs_.push_back(job);
+    record.held.insert(record.held.end(), tasks.begin(), tasks.begin() + held);
+    record.returned.insert(record.returned.end(), tasks.rbegin(), tasks.rend() - held);
+    change_waiting(record, count);
     enqueue(job_numbers_.at(job));
 }
 
+// Queues held tasks as far as the retry budget allows.
+template <placement_policy policy> void basic_scheduler<policy>::release_held(time_point now) {
+    while (!held_jobs_.empty()) {
+        const auto found = job_numbers_.find(held_jobs_.front());
+        if (found == job_numbers_.end() || jobs_[found->second].held.empty()) {
+            held_jobs_.pop_front();
+            continue;
+        }
+        scheduler_job& record = jobs_[found->second];
+        if (retry_budget_.take(1, now) == 0)
+            return;
+        record.returned.push_back(record.held.back());
+        record.held.pop_back();
+        enqueue(found->second);
+    }
+}
+
 template <placement_policy policy> void basic_scheduler<policy>::withdraw(const job_id& job) {
     const auto found = job_numbers_.find(job);
     if (found == job_numbers_.end())
@@ -106,11 +241,12 @@
     const std::uint32_t number = found->second;
     scheduler_job& record = jobs_[number];
     dequeue(number);
-    services_[record.service].waiting -= record.waiting();
-    waiting_count_ -= record.waiting();
+    change_waiting(record, -static_cast<std::int64_t>(record.waiting()));
     record.next = record.end;
     record.returned.clear();
+    record.held.clear();
     record.awaiting_requeue = 0;
+    record.retries = 0;
     record.withdrawn = true;
     release_if_done(number);
 }
@@ -142,41 +278,93 @@
 
     set_team_running(record.team, teams_[record.team].running - 1);
     --record.in_flight;
+    --service.in_flight;
     const double run = std::chrono::duration<double>{report.run_time()}.count();
     if (report.status != task_status::unknown)
         service.queue.adjust(record.team, run - returned.charged);
-    if (report.status == task_status::not_started) {
-        record.awaiting_requeue += record.withdrawn ? 0 : 1;
-        if (report.reason != refusal::revoked)
-            pause_after_refusal(backend, now);
-    }
-    learn(service, backend, report);
+    learn(service, backend, record, report, now);
+    if (report.status == task_status::failed || report.status == task_status::unknown)
+        learn_failure(service, backend, number, now);
     refresh(record.service, *place, now);
     release_if_done(number);
 }
 
 template <placement_policy policy>
-void basic_scheduler<policy>::learn(service_state& service, scheduler_backend& backend,
-                                    const task_report& report) {
-    if (report.status != task_status::succeeded)
+void basic_scheduler<policy>::learn_success(service_state& service, scheduler_backend& backend,
+                                            scheduler_task_class& kind, double run, time_point now) {
+    const double ratio = run / kind.typical.value_or(run);
+    const ejection_cause cause = backend.health.cause();
+    backend.health.succeeded(now);
+    if (cause == ejection_cause::slowness) {
+        // One short task proves little, so the estimate has to agree; the next probe then follows at once.
+        const double estimate = std::sqrt(backend.slowness.value_or(1) * ratio);
+        backend.slowness.reset(estimate);
+        if (ratio <= slowness_limit && estimate > slowness_limit / 2)
+            backend.health.probe_again(now);
+        if (estimate > slowness_limit / 2)
+            return;
+    }
+    // Silence that ends with a task of usual length was an interruption. Otherwise it is part of the
+    // evidence: the first tasks to end are the shortest ones and understate how slow the backend server has
+    // become.
+    const bool interrupted = cause == ejection_cause::silence && ratio <= usual_ratio_limit;
+    if (cause == ejection_cause::silence && !interrupted)
+        backend.slowness.reset(std::sqrt(backend.slowness.value_or(1) * ratio));
+    if (cause != ejection_cause::none)
+        backend.health.readmit(interrupted ? backend.slots : 1);
+    kind.typical.observe(run, run);
+    service.typical.observe(run, run);
+    kind.mean_seconds += run_weight(kind.samples) * (run - kind.mean_seconds);
+    service.mean_seconds += run_weight(service.typical.samples() - 1) * (run - service.mean_seconds);
+    ++kind.samples;
+    backend.slowness.observe(ratio, 1);
+    const bool is_slow =
+        backend.slowness.samples() >= samples_for_slowness && backend.slowness.value_or(1) > slowness_limit;
+    if (is_slow && may_eject(service))
+        backend.health.eject(ejection_cause::slowness, now);
+}
+
+template <placement_policy policy>
+void basic_scheduler<policy>::learn_failure(service_state& service, scheduler_backend& backend,
+                                            std::uint32_t job, time_point now) {
+    const bool same_job = backend.last_failed_job == job + 1;
+    backend.last_failed_job = job + 1;
+    backend.health.failed(same_job);
+    if (backend.health.is_ejected() || !may_eject(service))
         return;
-    const double typical = service.typical.expected_seconds(initial_run_seconds);
-    backend.speed.observe(report.run_time(), typical);
-    service.typical.observe(report.run_time(), typical);
-    const double run = std::chrono::duration<double>{report.run_time()}.count();
-    if (service.mean_seconds == 0)
-        service.mean_seconds = run;
-    service.mean_seconds += mean_weight * (run - service.mean_seconds);
-    backend.pause = std::chrono::nanoseconds{0};
+    const std::size_t others = service.serving - service.ejected - 1;
+    const double usual = (service.failure_sum - backend.failure_ratio) / static_cast<double>(others);
+    if (backend.health.fails_everything(usual))
+        backend.health.eject(ejection_cause::failures, now);
+}
+
+template <placement_policy policy>
+void basic_scheduler<policy>::learn_refusal(scheduler_backend& backend, scheduler_job& record, refusal reason,
+                                            time_point now) {
+    if (!record.withdrawn)
+        ++record.awaiting_requeue;
+    if (reason == refusal::revoked)
+        return;
+    const bool full = reason == refusal::queue_full || reason == refusal::declined_by_backend_server;
+    backend.health.refused(full, static_cast<std::uint32_t>(backend.in_flight.size()), now);
+    // An operator's action is no overload; its tasks are moved without delay.
+    const bool planned = reason == refusal::draining || reason == refusal::zone_out;
+    if (!record.withdrawn && !planned)
+        ++record.retries;
 }
 
 template <placement_policy policy>
-void basic_scheduler<policy>::pause_after_refusal(scheduler_backend& backend, time_point now) {
-    // Several refusals of one batch count as one.
-    if (now < backend.paused_until)
+void basic_scheduler<policy>::learn(service_state& service, scheduler_backend& backend, scheduler_job& record,
+                                    const task_report& report, time_point now) {
+    if (report.status == task_status::not_started) {
+        learn_refusal(backend, record, report.reason, now);
+        return;
+    }
+    backend.quiet_since = now;
+    if (report.status != task_status::succeeded)
         return;
-    backend.pause = std::clamp<std::chrono::nanoseconds>(2 * backend.pause, first_pause, longest_pause);
-    backend.paused_until = now + backend.pause;
+    const double run = std::chrono::duration<double>{report.run_time()}.count();
+    learn_success(service, backend, service.task_classes[record.task_class], run, now);
 }
 
 template <placement_policy policy>
@@ -219,8 +407,11 @@
     for (const service_capacity& capacity : status.services) {
         const std::uint32_t service = service_number(capacity.service);
         std::optional<std::uint32_t> backend = backend_of(agents_[number], service);
-        if (!backend)
+        if (!backend) {
             backend = add_backend(number, service);
+            // Half of its slots, until the first tasks show that it works.
+            services_[service].backends[*backend].health.start_with((capacity.slots + 1) / 2);
+        }
         services_[service].backends[*backend].slots = capacity.slots;
         services_[service].was_served = true;
     }
@@ -250,6 +441,7 @@
             scheduler_job& record = jobs_[task.job];
             set_team_running(record.team, teams_[record.team].running - 1);
             --record.in_flight;
+            --services_[service].in_flight;
             release_if_done(task.job);
         }
     }
@@ -260,6 +452,7 @@
 
 template <placement_policy policy>
 std::vector<assignment> basic_scheduler<policy>::take_assignments(time_point now) {
+    release_held(now);
     run_wakeups(now);
     pending_assignments result;
     for (std::uint32_t service = 0; service < services_.size(); ++service) {
@@ -275,7 +468,7 @@
     service_state& state = services_[service];
     while (const std::optional<fair_queue::selection> selected = state.queue.next()) {
         // The job table ends a job whose deadline has passed; until then its tasks are passed over.
-        if (jobs_[selected->job].deadline <= now) {
+        if (jobs_[selected->job].deadline <= now || is_hopeless(state, jobs_[selected->job], now)) {
             dequeue(selected->job);
             continue;
         }
@@ -286,6 +479,16 @@
     }
 }
 
+// True if the waiting tasks alone would not end before the deadline if the job had the service for itself.
+template <placement_policy policy>
+bool basic_scheduler<policy>::is_hopeless(const service_state& service, const scheduler_job& record,
+                                          time_point now) {
+    if (service.task_classes[record.task_class].samples < samples_to_judge)
+        return false;
+    const double needed = static_cast<double>(record.waiting()) / std::max(true_rate(service), 1e-9);
+    return hopeless_margin * needed > seconds_between(now, record.deadline);
+}
+
 template <placement_policy policy>
 void basic_scheduler<policy>::assign(std::uint32_t service, std::uint32_t backend,
                                      const fair_queue::selection& selected, pending_assignments& result,
@@ -299,22 +502,32 @@
     const task_index index = record.take();
     result.list[position->second].tasks.push_back(index);
     ++record.in_flight;
-    --state.waiting;
-    --waiting_count_;
+    ++state.in_flight;
+    change_waiting(record, -1);
+    retry_budget_.earn(1);
 
-    const double charged = state.mean_seconds > 0 ? state.mean_seconds : initial_run_seconds;
+    const scheduler_task_class& kind = state.task_classes[record.task_class];
+    const double charged = kind.samples > 0 ? kind.mean_seconds : initial_run_seconds;
     state.queue.charge(selected, record.is_request, charged);
-    if (record.waiting() == 0)
+    if (record.ready() == 0)
         dequeue(selected.job);
     set_team_running(selected.team, teams_[selected.team].running + 1);
-    state.backends[backend].in_flight.push_back({selected.job, index, static_cast<float>(charged), now});
+    scheduler_backend& chosen = state.backends[backend];
+    if (chosen.in_flight.empty())
+        chosen.quiet_since = now;
+    chosen.in_flight.push_back({selected.job, index, static_cast<float>(charged), now});
+    if (chosen.health.is_ejected())
+        chosen.health.probe_sent(now);
     refresh(service, backend, now);
 }
 
 template <placement_policy policy> std::optional<time_point> basic_scheduler<policy>::next_wakeup() const {
-    if (wakeups_.empty())
-        return std::nullopt;
-    return wakeups_.top().time;
+    std::optional<time_point> next;
+    if (!wakeups_.empty())
+        next = wakeups_.top().time;
+    if (!held_jobs_.empty())
+        next = std::min(next.value_or(time_point::max()), retry_budget_.next_available());
+    return next;
 }
 
 template <placement_policy policy>
@@ -366,10 +579,12 @@
     record.service = service_number(spec.service);
     record.team = team_number(spec.team);
     record.is_request = spec.is_request();
+    record.size_class =
+        static_cast<std::uint8_t>(fair_queue::size_class(record.is_request, spec.tasks.size()));
+    record.task_class = task_class(services_[record.service], spec.method);
     record.deadline = deadline;
     const service_state& service = services_[record.service];
-    const double rate = std::max(service.rate, 1.0);
-    const double alone = static_cast<double>(spec.tasks.size()) / rate;
+    const double alone = static_cast<double>(spec.tasks.size()) / std::max(true_rate(service), 1.0);
     record.order = seconds_between(time_point{}, now) + size_penalty * alone;
     scheduler_team& team = teams_[record.team];
     if (std::find(team.services.begin(), team.services.end(), record.service) == team.services.end()) {
@@ -380,9 +595,33 @@
     return record;
 }
 
+// Number of the task class of a method, which is created if there is room for it.
+template <placement_policy policy>
+std::uint8_t basic_scheduler<policy>::task_class(service_state& service, const std::string& method) {
+    if (method.empty())
+        return 0;
+    const auto found = service.class_by_method.find(method);
+    if (found != service.class_by_method.end())
+        return found->second;
+    if (service.task_classes.size() >= most_task_classes)
+        return 0;
+    const auto number = static_cast<std::uint8_t>(service.task_classes.size());
+    service.task_classes.emplace_back();
+    service.class_by_method.emplace(method, number);
+    return number;
+}
+
+template <placement_policy policy>
+void basic_scheduler<policy>::change_waiting(const scheduler_job& record, std::int64_t difference) {
+    service_state& service = services_[record.service];
+    service.waiting += static_cast<std::size_t>(difference);
+    service.queue.change_waiting(record.team, record.size_class, difference);
+    waiting_count_ += static_cast<std::size_t>(difference);
+}
+
 template <placement_policy policy> void basic_scheduler<policy>::enqueue(std::uint32_t number) {
     scheduler_job& record = jobs_[number];
-    if (record.queued || record.waiting() == 0)
+    if (record.queued || record.ready() == 0)
         return;
     record.queued = true;
     services_[record.service].queue.add(record.team, number, {record.is_request, record.order});
@@ -454,46 +693,112 @@
 template <placement_policy policy>
 double basic_scheduler<policy>::run_seconds(const service_state& service,
                                             const scheduler_backend& backend) const {
-    return backend.speed.expected_seconds(service.typical.expected_seconds(initial_run_seconds));
+    return backend.slowness.value_or(1) * service.typical.value_or(initial_run_seconds);
 }
 
-// Tells the placement policy whether the backend server may receive a task now, and its load.
+// At most half of the backend servers are ejected at once.
+template <placement_policy policy> bool basic_scheduler<policy>::may_eject(const service_state& service) {
+    return 2 * (service.ejected + 1) <= service.serving;
+}
+
+// Ejections are suspended while others have left and the ejected ones are the larger part.
 template <placement_policy policy>
-void basic_scheduler<policy>::refresh(std::uint32_t service, std::uint32_t number, time_point now) {
+bool basic_scheduler<policy>::is_ejection_enforced(const service_state& service) {
+    return 2 * service.ejected <= service.serving;
+}
+
+// Time without a report after which the backend server is taken for silent, in seconds.
+template <placement_policy policy>
+double basic_scheduler<policy>::silence_limit(const scheduler_backend& backend) const {
+    float longest = 0;
+    for (const in_flight_task& task : backend.in_flight)
+        longest = std::max(longest, task.charged);
+    const double expected = longest * std::max(1.0, backend.slowness.value_or(1));
+    const auto running = std::clamp<std::size_t>(backend.in_flight.size(), 1, std::max(backend.slots, 1U));
+    const double factor = 1 + silence_factor / static_cast<double>(running);
+    return std::max(shortest_silence_seconds, factor * expected);
+}
+
+// Replaces what the backend server contributed to the sums of its service.
+template <placement_policy policy>
+void basic_scheduler<policy>::update_sums(std::uint32_t service, std::uint32_t number, double others) {
     service_state& state = services_[service];
     scheduler_backend& backend = state.backends[number];
-    const double run = run_seconds(state, backend);
-    const double half_life = std::max(run, shortest_load_half_life_seconds);
-    const double others =
-        backend.others *
-        std::exp2(-seconds_between(backend.others_at, std::max(now, backend.others_at)) / half_life);
-
     const bool serving = backend.slots > 0 && agents_[backend.agent].takes_tasks();
-    const double part = own_part(std::max<std::uint32_t>(backend.slots, 1));
-    const double rate = serving ? std::max(part, backend.slots - others) / run : 0;
+    const bool ejected = serving && backend.health.is_ejected();
+    const bool counted = serving && !ejected;
+    const double places = std::max<double>(own_part(backend.slots), backend.slots - others);
+    const double rate = counted ? places / run_seconds(state, backend) : 0;
+    const double failure_ratio = counted ? backend.health.failure_ratio() : 0;
     state.serving += (serving ? 1 : 0) - (backend.is_serving ? 1 : 0);
-    state.rate = state.serving == 0 ? 0 : state.rate + rate - backend.rate;
+    state.ejected += (ejected ? 1 : 0) - (backend.is_ejected ? 1 : 0);
+    // Rounding errors of the sums end here at the latest.
+    const bool any = state.serving > state.ejected;
+    state.rate = any ? state.rate + rate - backend.rate : 0;
+    state.failure_sum = any ? state.failure_sum + failure_ratio - backend.failure_ratio : 0;
     backend.is_serving = serving;
+    backend.is_ejected = ejected;
     backend.rate = rate;
+    backend.failure_ratio = failure_ratio;
+}
 
+// Tells the placement policy whether the backend server may receive a task now, and its load.
+template <placement_policy policy>
+void basic_scheduler<policy>::refresh(std::uint32_t service, std::uint32_t number, time_point now) {
+    service_state& state = services_[service];
+    scheduler_backend& backend = state.backends[number];
+    ejection& health = backend.health;
+    const double run = run_seconds(state, backend);
+    const double half_life = std::max(run, shortest_load_half_life_seconds);
+    const double age = std::max(0.0, seconds_between(backend.others_at, now));
+    const double others = backend.others * std::exp2(-age / half_life);
     const auto own = static_cast<double>(backend.in_flight.size());
-    const double limit = std::max(part, backend.slots + prefetch_per_agent - others);
-    const bool paused = now < backend.paused_until;
-    if (serving && !paused && own + 1 <= limit) {
-        state.placement.update(number, {backend.slots, own + others, run}, random_);
+
+    const bool silent = backend.is_serving && own > 0 && !health.is_ejected() &&
+                        seconds_between(backend.quiet_since, now) > silence_limit(backend);
+    if (silent && may_eject(state))
+        health.eject(ejection_cause::silence, now);
+    update_sums(service, number, others);
+    state.placement.remove(number);
+    if (!backend.is_serving)
+        return;
+
+    const time_point silence_check = after_seconds(backend.quiet_since, silence_limit(backend));
+    if (own > 0 && !health.is_ejected())
+        wake_at(service, number, std::max(silence_check, now + silence_check_interval));
+    if (now < health.paused_until()) {
+        wake_at(service, number, health.paused_until());
         return;
     }
-    state.placement.remove(number);
-    if (serving && paused)
-        wake_at(service, number, backend.paused_until);
-    else if (serving && own + 1 <= backend.slots + prefetch_per_agent)
+    if (health.is_ejected() && is_ejection_enforced(state)) {
+        // A probe goes before all other choices, because it only tells something if it is sent.
+        if (now < health.probe_at())
+            wake_at(service, number, health.probe_at());
+        else if (own + 1 <= backend.slots)
+            state.placement.update(number, {backend.slots, 0, 0}, random_);
+        return;
+    }
+    const double places = backend.slots + prefetch_per_agent;
+    const double part = own_part(backend.slots);
+    const double spare = std::max(0.0, places - others - part);
+    const double limit = part + (entries_ > 1 ? shared_part * spare : spare);
+    if (own + 1 <= std::min<double>(limit, health.window()))
+        state.placement.update(number, {backend.slots, own + others, run}, random_);
+    else if (own + 1 <= std::min<double>(places, health.window()))
         wake_at(service, number, after_seconds(now, half_life));
 }
 
 template <placement_policy policy>
 void basic_scheduler<policy>::refresh_agent(const scheduler_agent& agent, time_point now) {
-    for (const auto& [service, backend] : agent.backends)
+    for (const auto& [service, backend] : agent.backends) {
+        service_state& state = services_[service];
+        const bool was_enforced = is_ejection_enforced(state);
         refresh(service, backend, now);
+        if (is_ejection_enforced(state) == was_enforced)
+            continue;
+        for (std::uint32_t other = 0; other < state.backends.size(); ++other)
+            refresh(service, other, now);
+    }
 }
 
 template <placement_policy policy>
--- a/coordination/scheduler.h
+++ b/coordination/scheduler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/admission.h"
+#include "coordination/admission_retry_budget.h"
 #include "coordination/assignment.h"
 #include "coordination/placement_least_completion.h"
 #include "coordination/placement_policy.h"
@@ -17,6 +19,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -101,10 +104,20 @@
     std::uint32_t team_number(const std::string& name);
     void apply_team_policy(const std::string& name, scheduler_team& team);
 
+    static std::uint8_t task_class(service_state& service, const std::string& method);
+    service_presence presence_of(const std::string& service) const;
+    static double mean_or_initial(const service_state& service);
+    static double true_rate(const service_state& service);
+    static bool is_hopeless(const service_state& service, const scheduler_job& record, time_point now);
+    admission_load load_for(const job_spec& spec) const;
+    std::optional<job_failed> check_capacity(const job_spec& spec, time_point deadline, time_point now);
+
     scheduler_job& job_record(const job_id& job, const job_spec& spec, time_point deadline, time_point now);
+    void change_waiting(const scheduler_job& record, std::int64_t difference);
     void enqueue(std::uint32_t number);
     void dequeue(std::uint32_t number);
     void release_if_done(std::uint32_t number);
+    void release_held(time_point now);
 
     void set_team_running(std::uint32_t team, std::uint32_t running);
     std::optional<std::uint32_t> backend_of(const scheduler_agent& agent, std::uint32_t service) const;
@@ -113,13 +126,23 @@
     double run_seconds(const service_state& service, const scheduler_backend& backend) const;
     void refresh(std::uint32_t service, std::uint32_t number, time_point now);
     void refresh_agent(const scheduler_agent& agent, time_point now);
+    void update_sums(std::uint32_t service, std::uint32_t number, double others);
+    double silence_limit(const scheduler_backend& backend) const;
+    static bool may_eject(const service_state& service);
+    static bool is_ejection_enforced(const service_state& service);
     void wake_at(std::uint32_t service, std::uint32_t number, time_point time);
     void run_wakeups(time_point now);
     void assign_waiting(std::uint32_t service, pending_assignments& result, time_point now);
     void assign(std::uint32_t service, std::uint32_t backend, const fair_queue::selection& selected,
                 pending_assignments& result, time_point now);
-    void learn(service_state& service, scheduler_backend& backend, const task_report& report);
-    static void pause_after_refusal(scheduler_backend& backend, time_point now);
+    void learn(service_state& service, scheduler_backend& backend, scheduler_job& record,
+               const task_report& report, time_point now);
+    static void learn_success(service_state& service, scheduler_backend& backend, scheduler_task_class& kind,
+                              double run, time_point now);
+    static void learn_failure(service_state& service, scheduler_backend& backend, std::uint32_t job,
+                              time_point now);
+    static void learn_refusal(scheduler_backend& backend, scheduler_job& record, refusal reason,
+                              time_point now);
 
     std::shared_ptr<const fleet_view> fleet_;
     std::uint32_t entries_ = 1;
@@ -140,6 +163,9 @@
 
     std::priority_queue<wakeup, std::vector<wakeup>, std::greater<>> wakeups_;
     std::size_t waiting_count_ = 0;
+    admission_retry_budget retry_budget_;
+    // Jobs with held tasks, oldest first.
+    std::deque<job_id> held_jobs_;
 };
 
 using scheduler = basic_scheduler<placement_least_completion>;
--- a/coordination/scheduler_backend.h
+++ b/coordination/scheduler_backend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/ejection.h"
 #include "coordination/speed_estimate.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -25,18 +26,23 @@
     // Announced concurrency; 0 if the service is no longer offered.
     std::uint32_t slots = 0;
     std::vector<in_flight_task> in_flight;
-    speed_estimate speed;
+    // Run time of tasks here relative to the typical run time of tasks of their class; 2 is half as fast.
+    speed_estimate slowness;
+    ejection health;
+    // The last report, or the assignment to the idle backend server if that is later.
+    time_point quiet_since;
+    // Job of the last failure plus 1; 0 if there was none.
+    std::uint32_t last_failed_job = 0;
     // Tasks of other entries as of the last report, and when that was.
     double others = 0;
     time_point others_at;
-    // No task before this time after a refusal, and the length of that pause.
-    time_point paused_until;
-    std::chrono::nanoseconds pause{0};
     // The earliest pending wakeup.
     std::optional<time_point> wakeup;
     // What this backend server contributes to the service's sums.
     bool is_serving = false;
+    bool is_ejected = false;
     double rate = 0;
+    double failure_ratio = 0;
 };
 
 } // namespace persimmonstile
--- a/coordination/scheduler_job.h
+++ b/coordination/scheduler_job.h
@@ -20,6 +20,8 @@
     bool withdrawn = false;
     // In the fair queue.
     bool queued = false;
+    std::uint8_t size_class = 0;
+    std::uint8_t task_class = 0;
     time_point deadline;
     // Place within the team, see fair_queue::position.
     double order = 0;
@@ -29,10 +31,15 @@
     std::uint32_t in_flight = 0;
     // Tasks that came back not started and have not been queued again yet.
     std::uint32_t awaiting_requeue = 0;
+    // How many of them count against the retry budget.
+    std::uint32_t retries = 0;
+    // Queued again, but held until the retry budget allows them.
+    std::vector<task_index> held;
 
-    std::size_t waiting() const { return end - next + returned.size(); }
+    std::size_t ready() const { return end - next + returned.size(); }
+    std::size_t waiting() const { return ready() + held.size(); }
 
-    // Requires waiting() > 0. Tasks that came back go first.
+    // Requires ready() > 0. Tasks that came back go first.
     task_index take() {
         if (returned.empty())
             return next++;
--- a/coordination/scheduler_service.h
+++ b/coordination/scheduler_service.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "coordination/admission_job_mix.h"
 #include "coordination/fair_queue.h"
 #include "coordination/scheduler_backend.h"
+#include "coordination/scheduler_task_class.h"
 #include "coordination/speed_estimate.h"
 #include "state/service_policy.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace persimmonstile {
@@ -20,13 +23,23 @@
     std::vector<std::uint32_t> free_backends;
     fair_queue queue;
     std::size_t waiting = 0;
-    // Typical run time on all backend servers.
-    speed_estimate typical;
-    // Mean run time in seconds, which unlike the typical one counts long tasks in full.
+    std::size_t in_flight = 0;
+    // Part of the places that are taken, as arriving jobs find it, and the sizes of these jobs.
+    double busy = 0;
+    admission_job_mix mix;
+    // By number; the first one is that of jobs.
+    std::vector<scheduler_task_class> task_classes{1};
+    std::unordered_map<std::string, std::uint8_t> class_by_method;
+    // Typical and mean run time in seconds over all classes.
+    speed_estimate typical{256};
     double mean_seconds = 0;
-    // Backend servers that take tasks, and the tasks per second that they can complete for this entry.
+    // Backend servers that take tasks, and how many of them are ejected.
     std::size_t serving = 0;
+    std::size_t ejected = 0;
+    // Tasks of typical run time per second that the backend servers can complete for this entry.
     double rate = 0;
+    // Sum of the failure ratios of the backend servers that are not ejected.
+    double failure_sum = 0;
     // A backend server has offered the service at some time.
     bool was_served = false;
 };
--- a/coordination/speed_estimate.cpp
+++ b/coordination/speed_estimate.cpp
@@ -2,54 +2,67 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace persimmonstile {
 
 namespace {
 
-// Weight of the starting value, in samples. Small, because the first run times say more than the average of
-// other machines.
-constexpr double prior_samples = 2;
+// Weight of the prior, in samples. Small, because the first run times on a machine say more about it than
+// the average of other machines.
+constexpr std::uint32_t prior_samples = 2;
 
-// The estimate is an average over about this many of the last samples. With task sizes that spread by a
-// factor of e, its standard error is about 12%.
-constexpr double averaged_samples = 32;
+// ln 4. A sample counts as at most 4 times higher or lower than expected.
+constexpr double outlier_limit = 1.386;
 
-// Weight of a run time that a silence confirms. A change by a factor of 20 passes the ejection limit of 8
-// with the first report.
-constexpr double change_weight = 0.8;
+// With task sizes that spread by a factor of e, 8% of the samples are high outliers; 4 in a row happen by
+// chance once in 25,000 samples and then only make the estimate noisier for a while.
+constexpr std::int32_t outliers_for_change = 4;
 
-// ln 8. A single sample counts as at most 8 times slower or faster than expected.
-constexpr double outlier_limit = 2.08;
+// While a change lasts, each sample moves the estimate by up to a factor of 2; afterwards the past has the
+// weight of a few samples.
+constexpr double change_weight = 0.5;
+constexpr std::uint32_t samples_after_change = 2;
 
-// Shorter run times are below the resolution of the reports.
-constexpr double shortest_seconds = 1e-5;
+// Values below the resolution of the reports.
+constexpr double smallest_value = 1e-6;
 
-double log_of(std::chrono::microseconds run_time) {
-    const double seconds = std::chrono::duration<double>{run_time}.count();
-    return std::log(std::max(seconds, shortest_seconds));
+double log_of(double value) {
+    return std::log(std::max(value, smallest_value));
 }
 
 } // namespace
 
-void speed_estimate::observe(std::chrono::microseconds run_time, double service_seconds) {
+speed_estimate::speed_estimate(std::uint32_t averaged_samples)
+    : averaged_samples_{averaged_samples} {}
+
+void speed_estimate::observe(double value, double prior) {
     if (samples_ == 0)
-        log_seconds_ = std::log(std::max(service_seconds, shortest_seconds));
-    const double weight = 1 / std::min(averaged_samples, samples_ + prior_samples);
-    const double difference = std::clamp(log_of(run_time) - log_seconds_, -outlier_limit, outlier_limit);
-    log_seconds_ += weight * difference;
+        log_value_ = log_of(prior);
+    const double difference = log_of(value) - log_value_;
+    if (std::abs(difference) < outlier_limit)
+        outliers_ = 0;
+    else if (difference > 0)
+        outliers_ = std::max(outliers_, 0) + 1;
+    else
+        outliers_ = std::min(outliers_, 0) - 1;
+    const bool is_change = std::abs(outliers_) >= outliers_for_change;
+    if (is_change)
+        samples_ = std::min(samples_, samples_after_change);
+    const double usual_weight = 1.0 / std::min(averaged_samples_, samples_ + prior_samples);
+    const double weight = is_change ? change_weight : usual_weight;
+    log_value_ += weight * std::clamp(difference, -outlier_limit, outlier_limit);
     ++samples_;
 }
 
-void speed_estimate::observe_change(std::chrono::microseconds run_time) {
-    if (samples_ == 0)
-        log_seconds_ = log_of(run_time);
-    log_seconds_ += change_weight * (log_of(run_time) - log_seconds_);
-    ++samples_;
+void speed_estimate::reset(double value) {
+    log_value_ = log_of(value);
+    samples_ = 1;
+    outliers_ = 0;
 }
 
-double speed_estimate::expected_seconds(double service_seconds) const {
-    return samples_ == 0 ? service_seconds : std::exp(log_seconds_);
+double speed_estimate::value_or(double prior) const {
+    return samples_ == 0 ? prior : std::exp(log_value_);
 }
 
 } // namespace persimmonstile
--- a/coordination/speed_estimate.h
+++ b/coordination/speed_estimate.h
@@ -1,28 +1,34 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 
 namespace persimmonstile {
 
-// Learns the run time of a service's tasks on one backend server. Works on logarithms, so that a few very
-// long tasks do not dominate, and limits the weight of each outlier.
+// Robust running average of a positive quantity, a run time in seconds or a ratio of run times. Works on
+// logarithms, so that a few very long tasks do not dominate, and limits the weight of each outlier. Several
+// outliers in a row on the same side are taken for a change and adopted quickly.
 class speed_estimate {
 public:
-    // service_seconds is the typical run time of the service on all backend servers, from which the estimate
-    // starts.
-    void observe(std::chrono::microseconds run_time, double service_seconds);
+    // Averages over about this many of the last samples. With task sizes that spread by a factor of e, 32
+    // samples give a standard error of 12%.
+    explicit speed_estimate(std::uint32_t averaged_samples);
+    speed_estimate()
+        : speed_estimate{32} {}
 
-    // As observe, without the limit on outliers: for a run time that a long silence has already announced.
-    void observe_change(std::chrono::microseconds run_time);
+    // Until the first samples outweigh it, the estimate is drawn to the prior.
+    void observe(double value, double prior);
+    // Forgets the past except for this value.
+    void reset(double value);
 
-    // Expected run time in seconds.
-    double expected_seconds(double service_seconds) const;
+    double value_or(double prior) const;
     std::uint32_t samples() const { return samples_; }
 
 private:
-    double log_seconds_ = 0;
+    double log_value_ = 0;
+    std::uint32_t averaged_samples_ = 0;
     std::uint32_t samples_ = 0;
+    // Consecutive outliers, counted upwards for high and downwards for low ones.
+    std::int32_t outliers_ = 0;
 };
 
 } // namespace persimmonstile
--- /dev/null
+++ b/tests/scheduler_fault_test.cpp
@@ -0,0 +1,237 @@
+#include "tests/scheduler_simulation.h"
+
+#include <cstdint>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A run at 70% load on 11 backend servers and 3 entries in which something fails.
+struct scheduler_fault_test : testing::Test {
+    scheduler_fault_test() { load.work_per_second = 0.7 * capacity_of(eleven_agents()); }
+
+    void start() { run.submit_all(make_trace(load)); }
+    void run_for(std::chrono::milliseconds time) { run.run_until(run.now + time); }
+    void finish() { run.run_until(begin + load.duration + load.deadline); }
+
+    // Jobs that were admitted and did not complete, and refused ones.
+    int lost() const {
+        int jobs = 0;
+        for (const simulated_outcome& outcome : run.outcomes)
+            jobs += !outcome.response && !outcome.refused ? 1 : 0;
+        return jobs;
+    }
+    int refused() const {
+        int jobs = 0;
+        for (const simulated_outcome& outcome : run.outcomes)
+            jobs += outcome.refused ? 1 : 0;
+        return jobs;
+    }
+    std::uint32_t received(const std::string& zone) const {
+        std::uint32_t tasks = 0;
+        for (const simulated_agent& agent : run.agents)
+            tasks += agent.zone == zone ? agent.received : 0;
+        return tasks;
+    }
+
+    workload load;
+    scheduler_simulation<> run{eleven_agents(), 3, simulated_fleet()};
+    time_point begin = run.now;
+};
+
+// Guards against a backend server that fails quickly, looks idle and therefore attracts all the work.
+TEST_F(scheduler_fault_test, fast_failures_attract_no_work_and_end_with_a_readmission) {
+    start();
+    run_for(10s);
+    simulated_agent& defective = run.agents[10];
+    defective.fails = true;
+    const std::uint32_t before = defective.received;
+    const std::uint64_t all_before = run.tasks_sent;
+    run_for(20s);
+    const std::uint32_t while_failing = defective.received - before;
+    EXPECT_GE(while_failing, 3U);
+    EXPECT_LE(while_failing, (run.tasks_sent - all_before) / 100);
+    defective.fails = false;
+    const std::uint32_t repaired = defective.received;
+    run_for(20s);
+    EXPECT_GT(defective.received, repaired + 100);
+    finish();
+    // Each failed task fails at most its own job.
+    EXPECT_LE(lost(), static_cast<int>(while_failing) + 3);
+}
+
+// Guards against jobs that keep going to a backend server that accepts and never answers.
+TEST_F(scheduler_fault_test, a_silent_backend_server_holds_few_tasks) {
+    start();
+    run_for(10s);
+    run.agents[10].hangs = true;
+    const std::uint32_t before = run.agents[10].received;
+    finish();
+    // Each entry loses its places and a few probes.
+    EXPECT_LE(run.agents[10].received - before, 3 * (9 + 3));
+    EXPECT_LE(lost(), 3 * (9 + 3));
+    EXPECT_EQ(refused(), 0);
+}
+
+// Guards against a backend server that turns 20 times slower and delays every job that touches it.
+TEST_F(scheduler_fault_test, a_backend_server_that_turns_slow_is_avoided_and_readmitted) {
+    start();
+    run_for(10s);
+    run.agents[10].speed /= 20;
+    run_for(10s);
+    const std::uint32_t before = run.agents[10].received;
+    run_for(10s);
+    EXPECT_LE(run.agents[10].received - before, 15U);
+    run.agents[10].speed *= 20;
+    run_for(10s);
+    const std::uint32_t repaired = run.agents[10].received;
+    run_for(15s);
+    EXPECT_GT(run.agents[10].received, repaired + 100);
+    finish();
+    EXPECT_LE(lost() + refused(), 10);
+}
+
+// Guards against ejecting the last backend servers when all of them fail.
+TEST_F(scheduler_fault_test, never_ejects_all) {
+    for (simulated_agent& agent : run.agents)
+        agent.fails = true;
+    start();
+    run_for(30s);
+    const std::uint64_t before = run.tasks_sent;
+    run_for(1s);
+    EXPECT_GT(run.tasks_sent, before + 10);
+}
+
+// Guards against tasks in a zone that is out, and against a burst on its cold backend servers afterwards.
+TEST_F(scheduler_fault_test, a_zone_that_is_out_gets_nothing_and_returns_without_a_burst) {
+    load.work_per_second = 0.6 * capacity_of(eleven_agents());
+    start();
+    run_for(15s);
+    run.fleet.zones_out.insert("south");
+    run.publish();
+    run_for(10ms);
+    const std::uint32_t out = received("south");
+    run_for(15s);
+    EXPECT_EQ(received("south"), out);
+    run.fleet.zones_out.clear();
+    run.publish();
+    run_for(20ms);
+    // One task from each entry for each of the three backend servers.
+    EXPECT_LE(received("south") - out, 9U);
+    run_for(15s);
+    EXPECT_GT(received("south") - out, 100U);
+    finish();
+    EXPECT_LE(lost(), 3);
+}
+
+// Guards against a burst of 20 times the load that ruins the jobs before and after it.
+TEST_F(scheduler_fault_test, a_burst_is_refused_or_completed_and_passes) {
+    auto trace = make_trace(load);
+    workload burst = load;
+    burst.work_per_second = 20 * capacity_of(eleven_agents());
+    burst.duration = 2s;
+    burst.seed = 2;
+    for (simulated_job& job : make_trace(burst)) {
+        job.arrival += 20s;
+        trace.push_back(std::move(job));
+    }
+    run.submit_all(trace);
+    finish();
+    int late = 0;
+    for (std::size_t i = 0; i < trace.size(); ++i) {
+        const simulated_outcome& outcome = run.outcomes[i];
+        late += !outcome.response && !outcome.refused ? 1 : 0;
+        if (outcome.refused) {
+            EXPECT_EQ(outcome.refused->reason, failure_reason::not_run);
+            EXPECT_TRUE(outcome.refused->at_capacity);
+            EXPECT_GE(outcome.refused->retry_after_ms, 100);
+        }
+        if (trace[i].arrival >= begin + 40s) {
+            EXPECT_TRUE(outcome.response) << i;
+        }
+    }
+    EXPECT_GT(refused(), 0);
+    EXPECT_LE(late, static_cast<int>(trace.size() / 50));
+}
+
+// Guards against a declaration of ten times the real slots, which the agent answers with refusals.
+TEST(scheduler_fault, a_tenfold_declaration_wastes_few_messages) {
+    auto agents = eleven_agents();
+    agents[5].announced_slots = 80;
+    workload load;
+    load.work_per_second = 0.7 * capacity_of(agents);
+    scheduler_simulation<> run{agents, load.entries, simulated_fleet()};
+    const time_point begin = run.now;
+    run.submit_all(make_trace(load));
+    run.run_until(begin + load.duration + load.deadline);
+    EXPECT_LE(static_cast<double>(run.wasted), 0.02 * static_cast<double>(run.tasks_sent));
+    for (const simulated_outcome& outcome : run.outcomes)
+        EXPECT_TRUE(outcome.response);
+}
+
+// Guards against a team that takes the capacity of others by offering ten times its share.
+TEST(scheduler_fault, one_of_670_teams_cannot_displace_the_others) {
+    constexpr std::uint32_t teams = 670;
+    constexpr double seconds = 40;
+    std::vector<simulated_agent> agents(11);
+    const double tasks_per_team = capacity_of(agents) / 0.1 * seconds / teams;
+    std::mt19937_64 random{1};
+    std::vector<simulated_job> trace;
+    for (std::uint32_t team = 0; team < teams; ++team) {
+        const int jobs = static_cast<int>(tasks_per_team * (team == 0 ? 10 : 1) / 4);
+        for (int i = 0; i < jobs; ++i) {
+            simulated_job job;
+            job.arrival = time_point{1000s} + std::chrono::milliseconds{random() % 40000};
+            job.spec = {"form", "team-" + std::to_string(team), "", std::vector<std::string>(4), 10000, ""};
+            job.work.assign(4, 0.1);
+            trace.push_back(std::move(job));
+        }
+    }
+    scheduler_simulation<> run{agents, 1, simulated_fleet(teams)};
+    run.submit_all(trace);
+    run.run_until(run.now + 50s);
+    std::size_t others = 0;
+    std::size_t completed = 0;
+    for (std::size_t i = 0; i < trace.size(); ++i) {
+        if (trace[i].spec.team == "team-0")
+            continue;
+        ++others;
+        completed += run.outcomes[i].response ? 1 : 0;
+    }
+    EXPECT_GE(static_cast<double>(completed), 0.95 * static_cast<double>(others));
+}
+
+// Guards against cancellations that slow down other jobs. 10,000 waiting jobs are cancelled in one second.
+TEST(scheduler_fault, a_wave_of_cancellations_does_not_slow_other_jobs) {
+    const auto slowest = [](bool cancelled) {
+        workload load;
+        load.duration = 10s;
+        load.work_per_second = 0.4 * capacity_of(eleven_agents());
+        load.entries = 1;
+        scheduler_simulation<> run{eleven_agents(), 1, simulated_fleet(2)};
+        const time_point begin = run.now;
+        job_spec other{"form", "team-1", "", {"", ""}, 60000, ""};
+        run.submit_all(make_trace(load));
+        for (int i = 0; cancelled && i < 10000; ++i) {
+            const std::string name = "cancelled-" + std::to_string(i);
+            run.at(begin + 2s + i * 100us, [&run, other, name] {
+                run.schedulers[0].admit(name, other, run.now + 60s, run.now);
+                run.schedulers[0].withdraw(name);
+            });
+        }
+        run.run_until(begin + 20s);
+        std::vector<double> responses;
+        for (const simulated_outcome& outcome : run.outcomes)
+            responses.push_back(outcome.response.value_or(1000));
+        EXPECT_EQ(run.schedulers[0].waiting_tasks(), 0U);
+        return quantile(responses, 0.99);
+    };
+    EXPECT_LE(slowest(true), 1.1 * slowest(false));
+}
+
+} // namespace
+} // namespace persimmonstile
