Refuse duplicate keys in settings and pin the message labels

Cause: the JSON parser keeps the last of two equal keys without notice, so a setting that an operator sees in the file could be without effect. The message labels follow the order of two variants, which only their number checked. Before: {"threads":1,"threads":2} gave 2 threads and no finding. Conclusion: parse_json reports duplicates for every user of it; a test names the label of every message type.

--- a/protocol/schema_findings.cpp
+++ b/protocol/schema_findings.cpp
@@ -141,6 +141,28 @@
     });
 }
 
+// Keys that occur twice in one object. nlohmann::json keeps the last value without notice.
+class duplicate_keys {
+public:
+    // Callback of the parser, which keeps every value.
+    bool visit(json::parse_event_t event, const json& value) {
+        if (event == json::parse_event_t::object_start) {
+            open_objects_.emplace_back();
+        } else if (event == json::parse_event_t::object_end) {
+            open_objects_.pop_back();
+        } else if (event == json::parse_event_t::key && !open_objects_.back().insert(value).second) {
+            found_.push_back(value.get<std::string>());
+        }
+        return true;
+    }
+
+    const std::vector<std::string>& found() const { return found_; }
+
+private:
+    std::vector<std::set<json>> open_objects_;
+    std::vector<std::string> found_;
+};
+
 } // namespace
 
 std::string short_text(const json& value) {
@@ -158,7 +180,19 @@
 
 std::variant<json, findings> parse_json(const std::string& file, std::string_view text) {
     try {
-        return json::parse(text);
+        duplicate_keys duplicates;
+        const auto visit = [&](int /*depth*/, json::parse_event_t event, const json& value) {
+            return duplicates.visit(event, value);
+        };
+        json parsed = json::parse(text.begin(), text.end(), visit);
+        findings problems;
+        for (const std::string& key : duplicates.found()) {
+            problems.push_back({file, "", "each key once in an object", json(key).dump() + " twice"});
+        }
+        if (!problems.empty()) {
+            return problems;
+        }
+        return parsed;
     } catch (const json::parse_error& error) {
         const std::string found = syntax_detail(error.what()) + " at " + describe_position(text, error.byte);
         return findings{{file, "", "valid JSON", found}};
--- a/protocol/schema_findings.h
+++ b/protocol/schema_findings.h
@@ -10,7 +10,8 @@
 
 namespace persimmonstile {
 
-// Parses JSON text. A syntax error is one finding that names line and column, both from 1.
+// Parses JSON text. A syntax error is one finding that names line and column, both from 1; otherwise each key
+// that occurs twice in one object is a finding.
 std::variant<nlohmann::json, findings> parse_json(const std::string& file, std::string_view text);
 
 // Checks a document against a JSON schema (draft 7) and returns all findings. An object schema lists its
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -39,6 +39,35 @@
     }
 }
 
+// Guards against labels that shift when an alternative is added in the middle of a variant.
+TEST(metrics, labels_messages_by_their_type) {
+    EXPECT_EQ(kind_of(task_message{dispatch{}}), message_kind::dispatch);
+    EXPECT_EQ(kind_of(task_message{revoke{}}), message_kind::revoke);
+    EXPECT_EQ(kind_of(task_message{query_job{}}), message_kind::query_job);
+    EXPECT_EQ(kind_of(task_message{task_reports{}}), message_kind::task_reports);
+    EXPECT_EQ(kind_of(task_message{job_report{}}), message_kind::job_report);
+    EXPECT_EQ(kind_of(task_message{forward_job{}}), message_kind::forward_job);
+    EXPECT_EQ(kind_of(task_message{forward_lookup{}}), message_kind::forward_lookup);
+    EXPECT_EQ(kind_of(task_message{job_result{}}), message_kind::job_result);
+    EXPECT_EQ(kind_of(control_message{agent_status{}}), message_kind::agent_status);
+    EXPECT_EQ(kind_of(control_message{entry_hello{}}), message_kind::entry_hello);
+    EXPECT_EQ(kind_of(control_message{grant_request{}}), message_kind::grant_request);
+    EXPECT_EQ(kind_of(control_message{grant_reply{}}), message_kind::grant_reply);
+    EXPECT_EQ(kind_of(control_message{table_push{}}), message_kind::table_push);
+    EXPECT_EQ(kind_of(control_message{table_ack{}}), message_kind::table_ack);
+    EXPECT_EQ(kind_of(control_message{content_request{}}), message_kind::content_request);
+    EXPECT_EQ(kind_of(control_message{config_push{}}), message_kind::config_push);
+    EXPECT_EQ(kind_of(control_message{view_ping{}}), message_kind::view_ping);
+    EXPECT_EQ(kind_of(control_message{view_pong{}}), message_kind::view_pong);
+    EXPECT_EQ(kind_of(control_message{recovery_request{}}), message_kind::recovery_request);
+    EXPECT_EQ(kind_of(control_message{recovery_reply{}}), message_kind::recovery_reply);
+    for (std::size_t i = 0; i < message_kind_count; ++i) {
+        EXPECT_FALSE(to_string(static_cast<message_kind>(i)).empty());
+    }
+    EXPECT_EQ(to_string(message_kind::config_push), "config_push");
+    EXPECT_EQ(to_string(message_kind::recovery_reply), "recovery_reply");
+}
+
 // Guards against two series with the same name and labels, which Prometheus rejects as a whole.
 TEST(metrics, has_no_duplicate_series) {
     const daemon_metrics metrics;
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -83,6 +83,14 @@
     EXPECT_EQ(findings_of("").size(), 1U);
 }
 
+// Guards against two values for one setting, of which one is ignored silently.
+TEST(settings_reader, refuses_duplicate_keys) {
+    const findings all = findings_of(R"({"role":"agent","threads":1,"name":"a","threads":2,"name":"b"})");
+    ASSERT_EQ(all.size(), 2U);
+    EXPECT_EQ(all.front().found, "\"threads\" twice");
+    EXPECT_TRUE(std::holds_alternative<nlohmann::json>(parse_json("f", R"([{"a":1},{"a":{"a":2}}])")));
+}
+
 // Guards against an unreadable file that is taken for an empty one.
 TEST(settings_reader, reports_an_unreadable_file) {
     for (const char* path : {"/nonexistent/settings.json", "/"}) {
