--- a/tests/whole_path.sh
+++ b/tests/whole_path.sh
@@ -79,7 +79,7 @@
 
 # A request is running while every process but the store is told to stop.
 curl -s -m 60 --noproxy '*' -X PUT -H 'Content-Type: application/json' \
-    -d '{"service":"forms","team":"counter","method":"file","body":{"number":7777,"run_ms":6000}}' \
+    -d '{"service":"forms","method":"file","body":{"number":7777,"run_ms":6000}}' \
     -o "$work/request" -w '%{http_code}' "http://127.0.0.1:$((base + 2))/v1/requests/in-progress?wait_ms=50000" \
     >"$work/request.status" &
 request=$!
