Record the decisions about jobs and replay them

Cause: an auditor has to be able to repeat every decision; the job table is deterministic, so its events and a digest of its actions are enough. Before: no record. After: one JSON line for each event, repeated by persimmonstile replay, which reports the first decision that differs.

--- /dev/null
+++ b/coordination/agent_presence.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/incarnation.h"
+
+#include <tuple>
+
+namespace persimmonstile {
+
+// A connection to the agent was (re)established, or the incarnation is gone for good.
+struct agent_presence {
+    incarnation agent;
+    bool gone = false;
+    config_revision revision = 0;
+
+    static constexpr auto members() {
+        return std::make_tuple(&agent_presence::agent, &agent_presence::gone, &agent_presence::revision);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/caller_left.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "state/ids.h"
+
+#include <tuple>
+
+namespace persimmonstile {
+
+// A caller does not wait any longer; its job goes on.
+struct caller_left {
+    job_id job;
+    caller_token token = 0;
+
+    static constexpr auto members() { return std::make_tuple(&caller_left::job, &caller_left::token); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_event.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "coordination/admission_decision.h"
+#include "coordination/agent_presence.h"
+#include "coordination/assignment.h"
+#include "coordination/caller_left.h"
+#include "coordination/clock_tick.h"
+#include "coordination/partition_gain.h"
+#include "coordination/partition_loss.h"
+#include "coordination/submission.h"
+#include "state/forward_lookup.h"
+#include "state/job_report.h"
+#include "state/task_reports.h"
+
+#include <variant>
+
+namespace persimmonstile {
+
+// Everything that can happen to a job table. Recorded events replay to the same actions. The position of an
+// alternative is its code in recorded files, so new ones go last.
+using job_event =
+    std::variant<submission, forward_lookup, caller_left, admission_decision, assignment, task_reports,
+                 job_report, agent_presence, partition_gain, partition_loss, clock_tick>;
+
+} // namespace persimmonstile
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -97,16 +97,18 @@
 job_table::job_table(std::size_t max_retained_bytes)
     : max_retained_bytes_{max_retained_bytes} {}
 
-void job_table::gain(const partition_gain& gained, wall_time now) {
+job_actions job_table::apply(const partition_gain& gained, time_point, wall_time wall_now) {
     owned_partition& partition = partitions_[gained.partition];
     partition.epoch = gained.epoch;
     partition.first_epoch = gained.first_epoch;
-    partition.gained = now;
+    partition.gained = wall_now;
     partition.suspects = {gained.suspects.begin(), gained.suspects.end()};
+    return {};
 }
 
-job_actions job_table::lose(partition_id partition) {
+job_actions job_table::apply(const partition_loss& lost, time_point, wall_time) {
     job_actions actions;
+    const partition_id partition = lost.partition;
     partitions_.erase(partition);
     for (auto it = jobs_.begin(); it != jobs_.end();) {
         job_record& record = it->second;
@@ -134,7 +136,7 @@
     return actions;
 }
 
-job_actions job_table::submit(const submission& request, time_point now, wall_time wall_now) {
+job_actions job_table::apply(const submission& request, time_point now, wall_time wall_now) {
     job_actions actions;
     const partition_id partition = partition_of(request.job);
     if (!partitions_.contains(partition)) {
@@ -171,17 +173,18 @@
     record.partition = partition;
     ++active_jobs_;
     actions.accepted = true;
-    start_job(request, record, now, wall_now, actions);
+    start_job(request, record, now, actions);
     return actions;
 }
 
-void job_table::start_job(const submission& request, job_record& record, time_point now, wall_time,
+void job_table::start_job(const submission& request, job_record& record, time_point now,
                           job_actions& actions) {
     record.spec = request.spec;
     record.traceparent = request.traceparent;
     record.idempotent = request.idempotent;
     record.accepted = now;
-    const auto allowed = request.spec->deadline_ms > 0 ? request.spec->deadline() : request.default_deadline;
+    const auto allowed =
+        request.spec->deadline_ms > 0 ? request.spec->deadline() : request.default_deadline();
     record.deadline = now + allowed;
     record.tasks.resize(request.spec->tasks.size());
     record.callers.push_back(request.token);
@@ -214,7 +217,11 @@
     return !created || *created <= partition.gained + new_id_margin;
 }
 
-job_actions job_table::lookup(const job_id& job, caller_token token) {
+job_actions job_table::apply(const forward_lookup& request, time_point now, wall_time) {
+    return request.cancel ? cancel(request.job, request.token, now) : lookup(request.job, request.token);
+}
+
+job_actions job_table::lookup(const job_id& job, caller_token token) const {
     job_actions actions;
     if (!partitions_.contains(partition_of(job))) {
         actions.answers.push_back({token, job, job_wrong_owner{}});
@@ -241,29 +248,36 @@
     return actions;
 }
 
-void job_table::forget_caller(const job_id& job, caller_token token) {
-    const auto found = jobs_.find(job);
+job_actions job_table::apply(const caller_left& left, time_point, wall_time) {
+    const auto found = jobs_.find(left.job);
     if (found != jobs_.end())
-        std::erase(found->second.callers, token);
+        std::erase(found->second.callers, left.token);
+    return {};
 }
 
-job_actions job_table::admitted(const job_id& job) {
+job_actions job_table::apply(const admission_decision& decision, time_point, wall_time) {
+    job_actions actions;
+    switch (decision.result) {
+    case admission_result::admitted:
+        admitted(decision.job, actions);
+        break;
+    case admission_result::refused:
+        actions = drop_admitting(decision.job, job_outcome{decision.refusal});
+        break;
+    case admission_result::abandoned:
+        actions = drop_admitting(decision.job, job_wrong_owner{});
+        break;
+    }
+    return actions;
+}
+
+void job_table::admitted(const job_id& job, job_actions& actions) {
     const auto found = jobs_.find(job);
     if (found != jobs_.end() && found->second.phase == job_phase::admitting)
         found->second.phase = job_phase::running;
-    job_actions actions;
     // The job may have been cancelled or lost while the scheduler decided; its tasks must not stay queued.
     if (found == jobs_.end() || found->second.phase == job_phase::ended)
         actions.withdrawn.push_back(job);
-    return actions;
-}
-
-job_actions job_table::refused(const job_id& job, const job_failed& refusal) {
-    return drop_admitting(job, job_outcome{refusal});
-}
-
-job_actions job_table::abandoned(const job_id& job) {
-    return drop_admitting(job, job_wrong_owner{});
 }
 
 job_actions job_table::drop_admitting(const job_id& job, const job_reply& reply) {
@@ -278,7 +292,7 @@
     return actions;
 }
 
-job_actions job_table::assign(const assignment& chosen, config_revision revision, time_point now) {
+job_actions job_table::apply(const assignment& chosen, time_point now, wall_time) {
     job_actions actions;
     const auto found = jobs_.find(chosen.job);
     // The scheduler may assign tasks of a new job before its admission has been reported here.
@@ -313,7 +327,7 @@
     }
     record.outstanding[chosen.agent] += static_cast<std::uint32_t>(sent.size());
     jobs_by_agent_[chosen.agent].insert(chosen.job);
-    send_dispatch(chosen.job, record, chosen.agent, sent, revision, now, actions);
+    send_dispatch(chosen.job, record, chosen.agent, sent, chosen.revision, now, actions);
     return actions;
 }
 
@@ -335,7 +349,7 @@
     actions.sends.push_back({agent, std::move(message)});
 }
 
-job_actions job_table::reported(const task_reports& reports, time_point now) {
+job_actions job_table::apply(const task_reports& reports, time_point now, wall_time) {
     job_actions actions;
     const auto found = jobs_.find(reports.job);
     const auto partition = partitions_.find(partition_of(reports.job));
@@ -408,7 +422,7 @@
             now, actions);
 }
 
-job_actions job_table::query_answered(const job_report& report, time_point now) {
+job_actions job_table::apply(const job_report& report, time_point now, wall_time) {
     job_actions actions;
     const auto found = jobs_.find(report.job);
     const auto partition = partitions_.find(report.partition);
@@ -479,6 +493,11 @@
         actions.queue.push_back({job, record.spec, waiting, record.deadline, untouched});
 }
 
+job_actions job_table::apply(const agent_presence& presence, time_point now, wall_time) {
+    return presence.gone ? agent_gone(presence.agent, now)
+                         : agent_connected(presence.agent, presence.revision, now);
+}
+
 job_actions job_table::agent_connected(const incarnation& agent, config_revision revision, time_point now) {
     job_actions actions;
     const auto outstanding = jobs_by_agent_.find(agent);
@@ -577,7 +596,7 @@
         jobs_by_agent_.erase(jobs);
 }
 
-job_actions job_table::tick(time_point now) {
+job_actions job_table::apply(const clock_tick&, time_point now, wall_time) {
     job_actions actions;
     expire_deadlines(now, actions);
     expire_ended(now);
--- a/coordination/job_table.h
+++ b/coordination/job_table.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "coordination/assignment.h"
 #include "coordination/job_actions.h"
+#include "coordination/job_event.h"
 #include "coordination/job_record.h"
-#include "coordination/ownership_actions.h"
-#include "state/job_report.h"
-#include "state/task_reports.h"
 #include "state/time.h"
 
 #include <cstddef>
@@ -19,17 +16,6 @@
 
 namespace persimmonstile {
 
-// A submission that passed the syntax checks. idempotent and default_deadline come from the configuration.
-struct submission {
-    job_id job;
-    std::shared_ptr<const job_spec> spec;
-    std::string traceparent;
-    caller_token token = 0;
-    bool idempotent = false;
-    std::chrono::milliseconds default_deadline{60000};
-    config_revision revision = 0;
-};
-
 // The jobs of one shard of an owner: deduplication, task states and outcomes. It decides whether a task may
 // be dispatched; when and where is the scheduler's decision. Deterministic and without I/O; the caller holds
 // the shard's lock. Calls that concern a partition which the shard does not own answer job_wrong_owner.
@@ -39,34 +25,22 @@
     // forgetting an ended job early could run it twice.
     explicit job_table(std::size_t max_retained_bytes);
 
-    void gain(const partition_gain& gained, wall_time now);
+    // Each of the events of job_event. wall_now is needed where the time inside an id counts.
+    job_actions apply(const submission& request, time_point now, wall_time wall_now);
+    job_actions apply(const forward_lookup& request, time_point now, wall_time wall_now);
+    job_actions apply(const caller_left& left, time_point now, wall_time wall_now);
+    job_actions apply(const admission_decision& decision, time_point now, wall_time wall_now);
+    job_actions apply(const assignment& chosen, time_point now, wall_time wall_now);
+    job_actions apply(const task_reports& reports, time_point now, wall_time wall_now);
+    job_actions apply(const job_report& report, time_point now, wall_time wall_now);
+    // After a new connection unanswered dispatches and queries are sent again. What an agent that is gone had
+    // accepted has an unknown outcome.
+    job_actions apply(const agent_presence& presence, time_point now, wall_time wall_now);
+    job_actions apply(const partition_gain& gained, time_point now, wall_time wall_now);
     // Drops the partition's jobs and sends their callers to the new owner.
-    job_actions lose(partition_id partition);
-
-    job_actions submit(const submission& request, time_point now, wall_time wall_now);
-    job_actions lookup(const job_id& job, caller_token token);
-    job_actions cancel(const job_id& job, caller_token token, time_point now);
-    // The caller went away; the job goes on.
-    void forget_caller(const job_id& job, caller_token token);
-
-    // Result of the admission that a queue_request asked for.
-    job_actions admitted(const job_id& job);
-    job_actions refused(const job_id& job, const job_failed& refusal);
-    // Sends the callers of a job that was not admitted to the present owner. An owner whose grants have
-    // lapsed must not refuse: its successor may be running the job.
-    job_actions abandoned(const job_id& job);
-
-    job_actions assign(const assignment& chosen, config_revision revision, time_point now);
-    job_actions reported(const task_reports& reports, time_point now);
-    job_actions query_answered(const job_report& report, time_point now);
-
-    // A connection to the agent was (re)established: unanswered dispatches and queries are sent again.
-    job_actions agent_connected(const incarnation& agent, config_revision revision, time_point now);
-    // The incarnation is gone for good: what it accepted has an unknown outcome.
-    job_actions agent_gone(const incarnation& agent, time_point now);
-
+    job_actions apply(const partition_loss& lost, time_point now, wall_time wall_now);
     // Deadlines and the end of the deduplication window. To be called at least every 50 ms.
-    job_actions tick(time_point now);
+    job_actions apply(const clock_tick& tick, time_point now, wall_time wall_now);
 
     std::size_t active_jobs() const { return active_jobs_; }
     std::size_t retained_bytes() const { return retained_bytes_; }
@@ -80,8 +54,12 @@
     };
     using job_map = std::unordered_map<job_id, job_record>;
 
-    void start_job(const submission& request, job_record& record, time_point now, wall_time wall_now,
-                   job_actions& actions);
+    void start_job(const submission& request, job_record& record, time_point now, job_actions& actions);
+    job_actions lookup(const job_id& job, caller_token token) const;
+    job_actions cancel(const job_id& job, caller_token token, time_point now);
+    void admitted(const job_id& job, job_actions& actions);
+    job_actions agent_connected(const incarnation& agent, config_revision revision, time_point now);
+    job_actions agent_gone(const incarnation& agent, time_point now);
     bool needs_query(const job_id& job, const owned_partition& partition) const;
     job_actions drop_admitting(const job_id& job, const job_reply& reply);
     void finish_query(const job_id& job, job_record& record, time_point now, job_actions& actions);
--- a/coordination/ownership_actions.h
+++ b/coordination/ownership_actions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/partition_gain.h"
 #include "state/control_message.h"
 #include "state/incarnation.h"
 #include "state/owner_table.h"
@@ -22,15 +23,6 @@
     std::int64_t expected_mod = 0;
 };
 
-// This entry owns the partition from now on. suspects are all agent incarnations that may have started tasks
-// under earlier epochs; empty with first_epoch set means that no earlier owner existed.
-struct partition_gain {
-    partition_id partition = 0;
-    epoch_number epoch = 0;
-    bool first_epoch = false;
-    std::vector<incarnation> suspects;
-};
-
 // What the entry has to do after an event, in this order.
 struct ownership_actions {
     std::vector<control_send> sends;
--- /dev/null
+++ b/coordination/partition_gain.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/incarnation.h"
+
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// This entry owns the partition from now on. suspects are all agent incarnations that may have started tasks
+// under earlier epochs; empty with first_epoch set means that no earlier owner existed.
+struct partition_gain {
+    partition_id partition = 0;
+    epoch_number epoch = 0;
+    bool first_epoch = false;
+    std::vector<incarnation> suspects;
+
+    static constexpr auto members() {
+        return std::make_tuple(&partition_gain::partition, &partition_gain::epoch,
+                               &partition_gain::first_epoch, &partition_gain::suspects);
+    }
+};
+
+} // namespace persimmonstile
--- a/daemon/caller_desk.cpp
+++ b/daemon/caller_desk.cpp
@@ -107,10 +107,8 @@
         break;
     }
     case caller_request_kind::lookup:
-        engine_->lookup(request.job, token);
-        break;
     case caller_request_kind::cancel:
-        engine_->cancel(request.job, token);
+        engine_->lookup({token, request.job, request.kind == caller_request_kind::cancel});
         break;
     }
 }
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -18,9 +18,6 @@
 
 constexpr const char* component = "entry";
 constexpr milliseconds tick_interval{20};
-// Memory for ended jobs of one entry. At 200 bytes an answer this holds the answers of about 5,000 tasks a
-// second over the deduplication window; beyond it new jobs are refused.
-constexpr std::size_t max_retained_bytes = std::size_t{512} * 1024 * 1024;
 constexpr std::size_t http_threads = 2;
 // RESTinio closes connections whose body exceeds this. Bodies between the job limit and this get a 413.
 constexpr std::size_t max_http_body_bytes = 2 * max_request_body_bytes;
@@ -50,17 +47,19 @@
     , clock_{clock}
     , self_{new_incarnation(settings_.name)}
     , tracer_{make_trace_resource(settings_), make_span_sink(settings_), clock}
+    , journal_{settings_.event_file}
     , agents_{clock}
     , engine_{clock,
               agents_,
               tracer_,
               metrics_,
-              max_retained_bytes,
+              journal_,
               [this](const caller_answer& answer) { desk_.deliver(answer); },
               [](const ended_job&) {
               }}
     , desk_{clock, self_,
             [this](const incarnation& to, const task_message& message) {
+                metrics_.messages.add(kind_of(message));
                 return entries_.send(to, message);
             }}
     , io_{settings_.threads}
@@ -70,7 +69,8 @@
                 [this](asio::ip::tcp::socket socket) {
                     accept(std::move(socket));
                 }}
-    , peer_address_{to_string(listener_.local_address())}
+    , peer_address_{settings_.advertised_peer_address.empty() ? to_string(listener_.local_address())
+                                                              : settings_.advertised_peer_address}
     , dialer_{io_.context(), clock,
               [this](const std::string& address, std::shared_ptr<frame_connection> connection) {
                   auto session = std::make_shared<peer_session>();
--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -12,6 +12,7 @@
 #include "daemon/store_worker.h"
 #include "protocol/daemon_settings.h"
 #include "state/clock_source.h"
+#include "transport/event_journal.h"
 #include "transport/frame_listener.h"
 #include "transport/http_server.h"
 #include "transport/io_threads.h"
@@ -76,6 +77,7 @@
     incarnation self_;
     daemon_metrics metrics_;
     tracer tracer_;
+    event_journal journal_;
     fleet_holder fleet_;
     agent_hub agents_;
     entry_links entries_;
--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -2,30 +2,45 @@
 
 #include "state/limits.h"
 
+#include <type_traits>
 #include <utility>
 
 namespace persimmonstile {
 
 job_engine::job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
-                       std::size_t max_retained_bytes, answer_handler on_answer, ended_handler on_ended)
+                       event_journal& journal, answer_handler on_answer, ended_handler on_ended)
     : clock_{clock}
     , agents_{agents}
     , tracer_{spans}
     , metrics_{metrics}
+    , journal_{journal}
     , on_answer_{std::move(on_answer)}
     , on_ended_{std::move(on_ended)} {
-    for (auto& entry : shards_)
-        entry = std::make_unique<shard>(max_retained_bytes / shard_count);
+    for (std::uint32_t i = 0; i < shard_count; ++i) {
+        shards_[i] = std::make_unique<shard>();
+        shards_[i]->number = i;
+    }
 }
 
-// Runs one event under the shard's lock and performs its actions afterwards.
-template <typename Event> void job_engine::apply(shard& target, Event event) {
-    job_actions actions;
-    {
-        const std::lock_guard lock{target.mutex};
-        actions = event(target.jobs);
-    }
-    perform(actions);
+// Applies one event under the shard's lock. Events that change nothing but the time are left out of the
+// journal.
+template <typename Event> job_actions job_engine::decide(shard& target, const Event& event) {
+    const std::lock_guard lock{target.mutex};
+    const time_point now = clock_.now();
+    const wall_time wall = clock_.wall_now();
+    const std::size_t retained = target.jobs.retained_bytes();
+    job_actions actions = target.jobs.apply(event, now, wall);
+    if (!journal_.is_enabled())
+        return actions;
+    const bool idle_tick = std::is_same_v<Event, clock_tick> && actions.ended.empty() &&
+                           target.jobs.retained_bytes() == retained;
+    if (!idle_tick)
+        journal_.record(target.number, event, actions, now, wall);
+    return actions;
+}
+
+template <typename Event> void job_engine::apply(shard& target, const Event& event) {
+    perform(decide(target, event));
     dispatch_waiting();
 }
 
@@ -66,18 +81,13 @@
     }
     if (!request.needs_admission)
         return;
-    shard& target = shard_of(request.job);
-    job_actions actions;
-    {
-        const std::lock_guard lock{target.mutex};
-        if (!refusal)
-            actions = target.jobs.admitted(request.job);
-        else if (has_lease())
-            actions = target.jobs.refused(request.job, *refusal);
-        else
-            actions = target.jobs.abandoned(request.job);
+    admission_decision decision;
+    decision.job = request.job;
+    if (refusal) {
+        decision.result = has_lease() ? admission_result::refused : admission_result::abandoned;
+        decision.refusal = *refusal;
     }
-    perform(actions);
+    perform(decide(shard_of(request.job), decision));
 }
 
 void job_engine::dispatch_waiting() {
@@ -88,14 +98,9 @@
         const std::lock_guard lock{scheduler_mutex_};
         assignments = scheduler_.take_assignments(clock_.now());
     }
-    for (const assignment& chosen : assignments) {
-        shard& target = shard_of(chosen.job);
-        job_actions actions;
-        {
-            const std::lock_guard lock{target.mutex};
-            actions = target.jobs.assign(chosen, revision(), clock_.now());
-        }
-        perform(actions);
+    for (assignment& chosen : assignments) {
+        chosen.revision = revision();
+        perform(decide(shard_of(chosen.job), chosen));
     }
 }
 
@@ -105,13 +110,11 @@
 }
 
 void job_engine::gain(const partition_gain& gained) {
-    shard& target = *shards_[gained.partition % shard_count];
-    const std::lock_guard lock{target.mutex};
-    target.jobs.gain(gained, clock_.wall_now());
+    perform(decide(*shards_[gained.partition % shard_count], gained));
 }
 
 void job_engine::lose(partition_id partition) {
-    apply(*shards_[partition % shard_count], [&](job_table& jobs) { return jobs.lose(partition); });
+    apply(*shards_[partition % shard_count], partition_loss{partition});
 }
 
 void job_engine::submit(submission request) {
@@ -123,7 +126,7 @@
         const std::lock_guard lock{fleet_mutex_};
         const service_policy* service = fleet_ ? fleet_->find_service(request.spec->service) : nullptr;
         if (service != nullptr) {
-            request.default_deadline = service->default_deadline;
+            request.default_deadline_ms = service->default_deadline.count();
             request.idempotent =
                 request.spec->is_request() && service->idempotent_methods.contains(request.spec->method);
         }
@@ -133,12 +136,7 @@
     span.service = request.spec->service;
     span.team = request.spec->team;
     request.traceparent = format_traceparent(span.context);
-    job_actions actions;
-    {
-        shard& target = shard_of(request.job);
-        const std::lock_guard lock{target.mutex};
-        actions = target.jobs.submit(request, clock_.now(), clock_.wall_now());
-    }
+    const job_actions actions = decide(shard_of(request.job), request);
     if (actions.accepted && tracer_.is_enabled())
         keep_span(std::move(span));
     perform(actions);
@@ -163,18 +161,12 @@
     tracer_.end(std::move(span));
 }
 
-void job_engine::lookup(const job_id& job, caller_token token) {
-    apply(shard_of(job), [&](job_table& jobs) { return jobs.lookup(job, token); });
-}
-
-void job_engine::cancel(const job_id& job, caller_token token) {
-    apply(shard_of(job), [&](job_table& jobs) { return jobs.cancel(job, token, clock_.now()); });
+void job_engine::lookup(const forward_lookup& request) {
+    apply(shard_of(request.job), request);
 }
 
 void job_engine::forget_caller(const job_id& job, caller_token token) {
-    shard& target = shard_of(job);
-    const std::lock_guard lock{target.mutex};
-    target.jobs.forget_caller(job, token);
+    perform(decide(shard_of(job), caller_left{job, token}));
 }
 
 void job_engine::reported(const task_reports& reports) {
@@ -182,11 +174,11 @@
         const std::lock_guard lock{scheduler_mutex_};
         scheduler_.load_reported(reports.agent, reports.service, reports.load, clock_.now());
     }
-    apply(shard_of(reports.job), [&](job_table& jobs) { return jobs.reported(reports, clock_.now()); });
+    apply(shard_of(reports.job), reports);
 }
 
 void job_engine::query_answered(const job_report& report) {
-    apply(shard_of(report.job), [&](job_table& jobs) { return jobs.query_answered(report, clock_.now()); });
+    apply(shard_of(report.job), report);
 }
 
 void job_engine::agent_connected(const agent_status& status, bool is_new_connection) {
@@ -196,9 +188,7 @@
     }
     if (is_new_connection) {
         for (const auto& entry : shards_)
-            apply(*entry, [&](job_table& jobs) {
-                return jobs.agent_connected(status.agent, revision(), clock_.now());
-            });
+            apply(*entry, agent_presence{status.agent, false, revision()});
     }
     dispatch_waiting();
 }
@@ -211,7 +201,7 @@
 void job_engine::agent_gone(const incarnation& agent) {
     agent_disconnected(agent);
     for (const auto& entry : shards_)
-        apply(*entry, [&](job_table& jobs) { return jobs.agent_gone(agent, clock_.now()); });
+        apply(*entry, agent_presence{agent, true, revision()});
 }
 
 void job_engine::set_fleet(std::shared_ptr<const fleet_view> fleet) {
@@ -241,7 +231,7 @@
 
 void job_engine::tick() {
     for (const auto& entry : shards_)
-        apply(*entry, [&](job_table& jobs) { return jobs.tick(clock_.now()); });
+        apply(*entry, clock_tick{});
 }
 
 std::size_t job_engine::active_jobs() const {
--- a/daemon/job_engine.h
+++ b/daemon/job_engine.h
@@ -5,6 +5,8 @@
 #include "daemon/agent_hub.h"
 #include "state/clock_source.h"
 #include "state/fleet_view.h"
+#include "state/limits.h"
+#include "transport/event_journal.h"
 #include "transport/metrics.h"
 #include "transport/tracing.h"
 
@@ -26,16 +28,14 @@
     using answer_handler = std::function<void(const caller_answer&)>;
     using ended_handler = std::function<void(const ended_job&)>;
 
-    // max_retained_bytes bounds the memory for ended jobs of all shards.
     job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
-               std::size_t max_retained_bytes, answer_handler on_answer, ended_handler on_ended);
+               event_journal& journal, answer_handler on_answer, ended_handler on_ended);
 
     void gain(const partition_gain& gained);
     void lose(partition_id partition);
 
     void submit(submission request);
-    void lookup(const job_id& job, caller_token token);
-    void cancel(const job_id& job, caller_token token);
+    void lookup(const forward_lookup& request);
     void forget_caller(const job_id& job, caller_token token);
 
     void reported(const task_reports& reports);
@@ -59,15 +59,14 @@
     static constexpr std::size_t shard_count = 8;
 
     struct shard {
-        explicit shard(std::size_t max_retained_bytes)
-            : jobs{max_retained_bytes} {}
-
+        std::uint32_t number = 0;
         mutable std::mutex mutex;
-        job_table jobs;
+        job_table jobs{max_retained_bytes_per_shard};
     };
 
     shard& shard_of(const job_id& job) { return *shards_[partition_of(job) % shard_count]; }
-    template <typename Event> void apply(shard& target, Event event);
+    template <typename Event> job_actions decide(shard& target, const Event& event);
+    template <typename Event> void apply(shard& target, const Event& event);
     void perform(const job_actions& actions);
     void queue(const queue_request& request);
     void dispatch_waiting();
@@ -80,6 +79,7 @@
     agent_hub& agents_;
     tracer& tracer_;
     daemon_metrics& metrics_;
+    event_journal& journal_;
     answer_handler on_answer_;
     ended_handler on_ended_;
     std::array<std::unique_ptr<shard>, shard_count> shards_;
--- a/protocol/announcement_json.cpp
+++ b/protocol/announcement_json.cpp
@@ -26,8 +26,8 @@
 
 std::uint32_t read_count(const nlohmann::json& body, const std::string& key, std::uint32_t limit,
                          request_findings& findings) {
-    const bool valid = body.contains(key) && body.at(key).is_number_integer() && body.at(key) >= 1 &&
-                       body.at(key) <= limit;
+    const bool valid =
+        body.contains(key) && body.at(key).is_number_integer() && body.at(key) >= 1 && body.at(key) <= limit;
     if (valid)
         return body.at(key).get<std::uint32_t>();
     findings.push_back({"/" + key, "an integer from 1 to " + std::to_string(limit), describe(body, key)});
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -31,6 +31,11 @@
     std::uint32_t threads = 2;
     // Longest time for which a graceful shutdown waits for requests in progress.
     std::uint32_t shutdown_timeout_ms = 30000;
+    // Entries only: file that the decisions about jobs are appended to for `persimmonstile replay`; empty for
+    // none.
+    std::string event_file;
+    // Entries only: the peer address that others use, if it is not the one that is bound.
+    std::string advertised_peer_address;
     // One of trace, debug, info, warn, error.
     std::string log_level = "info";
     // File that spans are appended to, or base URL of an OTLP/HTTP collector; empty for none.
--- a/protocol/job_request.cpp
+++ b/protocol/job_request.cpp
@@ -15,11 +15,18 @@
 // A deadline beyond a day is a mistake in the unit.
 constexpr std::int64_t max_deadline_ms = std::int64_t{24} * 3600 * 1000;
 
+// Lower-case hexadecimal SHA-256.
 std::string sha256(const std::string& text) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    return {digest.begin(), digest.begin() + length};
+    std::string hex;
+    for (unsigned int i = 0; i < length; ++i) {
+        constexpr std::string_view digits = "0123456789abcdef";
+        hex.push_back(digits[digest[i] >> 4U]);
+        hex.push_back(digits[digest[i] & 15U]);
+    }
+    return hex;
 }
 
 // Reads typed members of a JSON object and collects what is wrong with them.
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -51,6 +51,8 @@
                             "description": "an integer from 0 to 3600000"},
     "log_level": {"enum": ["trace", "debug", "info", "warn", "error"],
                   "description": "one of \"trace\", \"debug\", \"info\", \"warn\", \"error\""},
+    "event_file": {"type": "string", "description": "a path for recorded events, or an empty string"},
+    "advertised_peer_address": {"type": "string", "description": "an ip:port address, or an empty string"},
     "trace_file": {"type": "string", "description": "a path for trace spans, or an empty string"},
     "trace_url": {"type": "string",
                   "description": "the base URL \"http://ip:port\" of a trace collector, or an empty string"}
@@ -103,6 +105,7 @@
     void run() {
         check_endpoint("http_address");
         check_endpoint("peer_address");
+        check_advertised_address();
         check_list("store_endpoints", expected_url, is_ip_url);
         check_list("peers", expected_connect_endpoint, is_connect_endpoint);
         const std::string trace_url = text("trace_url");
@@ -116,6 +119,12 @@
     }
 
 private:
+    void check_advertised_address() {
+        const std::string address = text("advertised_peer_address");
+        if (!address.empty() && !is_connect_endpoint(address))
+            report("advertised_peer_address", expected_connect_endpoint, short_text(address));
+    }
+
     static bool is_connect_endpoint(std::string_view value) {
         const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(value);
         return endpoint && endpoint->port != 0;
@@ -198,6 +207,8 @@
     read_member(document, "threads", settings.threads);
     read_member(document, "shutdown_timeout_ms", settings.shutdown_timeout_ms);
     read_member(document, "log_level", settings.log_level);
+    read_member(document, "event_file", settings.event_file);
+    read_member(document, "advertised_peer_address", settings.advertised_peer_address);
     read_member(document, "trace_file", settings.trace_file);
     read_member(document, "trace_url", settings.trace_url);
     return settings;
--- a/state/job_spec.h
+++ b/state/job_spec.h
@@ -18,7 +18,7 @@
     std::vector<std::string> tasks;
     // Time allowed from acceptance to the end, 0 for the service's default.
     std::int64_t deadline_ms = 0;
-    // SHA-256 of the canonical body. Tells a resubmission from another job under the same id.
+    // SHA-256 of the canonical body in hexadecimal. Tells a resubmission from another job under the same id.
     std::string digest;
 
     bool is_request() const { return !method.empty(); }
--- a/state/limits.h
+++ b/state/limits.h
@@ -35,6 +35,10 @@
 // Largest difference between the calendar clocks of two machines that the id rules tolerate.
 constexpr std::chrono::milliseconds clock_skew_limit{2000};
 
+// Memory for the ended jobs of one shard of an entry, which has 8. At 200 bytes an answer an entry keeps the
+// answers of about 9,000 tasks a second over the deduplication window; beyond it new jobs are refused.
+constexpr std::size_t max_retained_bytes_per_shard = std::size_t{64} * 1024 * 1024;
+
 // Bounds on one submission.
 constexpr std::size_t max_tasks_per_job = 560;
 constexpr std::size_t max_request_body_bytes = std::size_t{4} * 1024 * 1024;
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -176,7 +176,7 @@
             gained.epoch = epoch_;
             gained.first_epoch = first || options_.skip_query;
             gained.suspects = {recorded_.begin(), recorded_.end()};
-            next.jobs->gain(gained, wall());
+            perform(index, next.jobs->apply(gained, now_, wall()));
         }
         note(next.id.name + " owns all partitions in epoch " + std::to_string(epoch_));
         for (auto& [i, taught] : agents_) {
@@ -188,7 +188,7 @@
             for (const auto& [i, present] : agents_)
                 running = running || present.id == suspect;
             if (!running)
-                perform(index, next.jobs->agent_gone(suspect, now_));
+                perform(index, next.jobs->apply(agent_presence{suspect, true, 1}, now_, wall()));
         }
     }
 
@@ -228,7 +228,7 @@
         else
             at(pick(3000), [this, old] {
                 for (partition_id p = 0; p < partition_count; ++p)
-                    perform(old, owners_[old]->jobs->lose(p));
+                    perform(old, owners_[old]->jobs->apply(partition_loss{p}, now_, wall()));
             });
         // Callers of the old owner come back, as the entries send their waiting requests to the new one.
         for (const auto& [token, waiting] : callers_) {
@@ -246,7 +246,7 @@
             links_[{o, index}] = {};
             at(pick(2000), [this, o, old] {
                 if (owners_[o]->alive)
-                    perform(o, owners_[o]->jobs->agent_gone(old, now_));
+                    perform(o, owners_[o]->jobs->apply(agent_presence{old, true, 1}, now_, wall()));
             });
         }
     }
@@ -260,8 +260,8 @@
         at(pick(1500), [this, owner_index, agent_index] {
             links_[{owner_index, agent_index}].up = true;
             if (owners_[owner_index]->alive)
-                perform(owner_index,
-                        owners_[owner_index]->jobs->agent_connected(agents_[agent_index].id, 1, now_));
+                perform(owner_index, owners_[owner_index]->jobs->apply(
+                                         agent_presence{agents_[agent_index].id, false, 1}, now_, wall()));
         });
     }
 
@@ -297,7 +297,7 @@
         asking.sent_to = current_;
         facts_[asking.job].last_submitted = order_++;
         note("submit " + asking.job + " to " + owners_[current_]->id.name);
-        perform(current_, owners_[current_]->jobs->submit(request, now_, wall()));
+        perform(current_, owners_[current_]->jobs->apply(request, now_, wall()));
     }
 
     void resubmit_some_job() {
@@ -310,7 +310,7 @@
             return;
         const job_id job = std::next(facts_.begin(), static_cast<long>(pick(facts_.size())))->first;
         note("cancel " + job);
-        perform(current_, owners_[current_]->jobs->cancel(job, 0, now_));
+        perform(current_, owners_[current_]->jobs->apply(forward_lookup{0, job, true}, now_, wall()));
     }
 
     void tick() {
@@ -320,7 +320,7 @@
         }
         for (std::size_t o = 0; o < owners_.size(); ++o) {
             if (owners_[o]->alive)
-                perform(o, owners_[o]->jobs->tick(now_));
+                perform(o, owners_[o]->jobs->apply(clock_tick{}, now_, wall()));
         }
         dispatch_waiting();
     }
@@ -335,7 +335,8 @@
                 chosen.job = request.job;
                 chosen.agent = agents_[static_cast<int>(pick(agent_count))].id;
                 chosen.tasks = {task};
-                perform(current_, acting.jobs->assign(chosen, 1, now_));
+                chosen.revision = 1;
+                perform(current_, acting.jobs->apply(chosen, now_, wall()));
             }
         }
     }
@@ -359,12 +360,15 @@
             job_failed refusal;
             refusal.reason = failure_reason::not_run;
             const bool has_lease = owner_index == current_ || options_.refuse_without_lease;
-            perform(owner_index, has_lease ? acting.jobs->refused(request.job, refusal)
-                                           : acting.jobs->abandoned(request.job));
+            const auto result = has_lease ? admission_result::refused : admission_result::abandoned;
+            perform(owner_index,
+                    acting.jobs->apply(admission_decision{request.job, result, refusal}, now_, wall()));
             return;
         }
         acting.queue.push_back(request);
-        perform(owner_index, acting.jobs->admitted(request.job));
+        perform(owner_index,
+                acting.jobs->apply(admission_decision{request.job, admission_result::admitted, {}}, now_,
+                                   wall()));
     }
 
     void send_to_agent(std::size_t owner_index, const task_send& send) {
@@ -407,9 +411,9 @@
             if (!receiver.alive)
                 return;
             if (const auto* reports = std::get_if<task_reports>(&message))
-                perform(owner_index, receiver.jobs->reported(*reports, now_));
+                perform(owner_index, receiver.jobs->apply(*reports, now_, wall()));
             else if (const auto* report = std::get_if<job_report>(&message))
-                perform(owner_index, receiver.jobs->query_answered(*report, now_));
+                perform(owner_index, receiver.jobs->apply(*report, now_, wall()));
         });
     }
 
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -34,8 +34,7 @@
 
 template <typename After_write>
 void send_response(const restinio::request_handle_t& request, const http_response& response,
-                   After_write after_write)
-{
+                   After_write after_write) {
     auto builder = request->create_response(restinio::http_status_line_t{
         restinio::http_status_code_t{response.status}, std::string{response.status < 400 ? "OK" : "Error"}});
     builder.append_header(restinio::http_field::content_type, response.content_type);
@@ -95,10 +94,11 @@
     }
 
 private:
-    restinio::request_handling_status_t handle(const restinio::request_handle_t& request)
-    {
+    restinio::request_handling_status_t handle(const restinio::request_handle_t& request) {
         ++open_requests_;
-        const auto written = [this](const auto&) { --open_requests_; };
+        const auto written = [this](const auto&) {
+            --open_requests_;
+        };
         handler_(to_request(*request), [request, written](const http_response& response) {
             send_response(request, response, written);
         });
@@ -125,7 +125,9 @@
     stop();
 }
 
-std::size_t http_server::open_requests() const { return implementation_->open_requests(); }
+std::size_t http_server::open_requests() const {
+    return implementation_->open_requests();
+}
 
 void http_server::stop() {
     implementation_->stop();
