Compare load runs with an achievable list schedule too

Cause: the relaxed schedule interrupts and moves tasks, so a quotient to it does not tell how much of it a dispatcher could have avoided. Before: only the two bounds.

--- a/cli/load_command.cpp
+++ b/cli/load_command.cpp
@@ -1,5 +1,6 @@
 #include "cli/load_command.h"
 
+#include "cli/list_schedule.h"
 #include "cli/load_client.h"
 #include "cli/load_ideal.h"
 #include "cli/load_metrics.h"
@@ -82,7 +83,10 @@
     if (const auto* findings = std::get_if<workload_findings>(&parsed)) {
         std::string text;
         for (const std::string& finding : findings->findings) {
-            text += (text.empty() ? "" : "\n") + path + "#" + finding;
+            text += text.empty() ? "" : "\n";
+            text += path;
+            text += "#";
+            text += finding;
         }
         throw std::invalid_argument(text);
     }
@@ -171,14 +175,15 @@
 
 load_report run(load_options& options, command_output output) {
     const auto calls = plan_calls(options.load, options.calls_per_second, options.duration, options.seed);
-    const auto ideals = compute_ideal(calls, options.servers, options.round_trip);
+    const reference_responses references{compute_ideal(calls, options.servers, options.round_trip),
+                                         list_schedule(calls, options.servers, options.round_trip)};
     options.client.on_progress = [&output](const load_progress& progress) {
         print_progress(progress, output.err);
     };
     const message_counters before = scrape_messages(options.metrics);
     const auto results = run_calls(options.load, calls, options.client);
     const message_counters after = scrape_messages(options.metrics);
-    load_report report = make_report(options.load, calls, ideals, results);
+    load_report report = make_report(options.load, calls, references, results);
     report.seed = options.seed;
     report.calls_per_second = options.calls_per_second;
     report.offered_load = offered_load(calls, options);
--- a/cli/load_report.cpp
+++ b/cli/load_report.cpp
@@ -21,7 +21,7 @@
 struct observed_run {
     const workload& load;
     const std::vector<planned_call>& calls;
-    const std::vector<ideal_response>& ideals;
+    const reference_responses& references;
     const std::vector<call_result>& results;
 };
 
@@ -38,6 +38,7 @@
     figures.name = name;
     std::vector<double> response;
     std::vector<double> ideal;
+    std::vector<double> list;
     std::vector<double> to_ideal;
     std::vector<double> to_alone;
     for (std::size_t i = 0; i < run.calls.size(); ++i) {
@@ -49,15 +50,17 @@
             continue;
         }
         const fractional_milliseconds measured = run.results[i].response;
-        const fractional_milliseconds best = run.ideals[i].ideal;
-        const fractional_milliseconds alone = run.ideals[i].alone;
+        const fractional_milliseconds best = run.references.ideal[i].ideal;
+        const fractional_milliseconds alone = run.references.ideal[i].alone;
         response.push_back(measured.count());
         ideal.push_back(best.count());
+        list.push_back(fractional_milliseconds{run.references.list[i]}.count());
         to_ideal.push_back(measured / best);
         to_alone.push_back(measured / alone);
     }
     figures.response = percentiles_of(std::move(response));
     figures.ideal = percentiles_of(std::move(ideal));
+    figures.list = percentiles_of(std::move(list));
     figures.to_ideal = percentiles_of(std::move(to_ideal));
     figures.to_alone = percentiles_of(std::move(to_alone));
     return figures;
@@ -117,6 +120,7 @@
             {"calls", figures.calls},
             {"response_ms", to_json(figures.response)},
             {"ideal_ms", to_json(figures.ideal)},
+            {"list_ms", to_json(figures.list)},
             {"to_ideal", to_json(figures.to_ideal)},
             {"to_alone", to_json(figures.to_alone)}};
 }
@@ -153,11 +157,12 @@
 }
 
 void print_figures(const response_figures& figures, std::ostream& out) {
-    out << fmt::format(
-        "{:<26}{:>7}{:>9.1f}{:>9.1f}{:>9.1f}{:>9.1f}{:>9.1f}{:>9.1f}{:>8.2f}{:>8.2f}{:>8.2f}\n", figures.name,
-        figures.response.samples, figures.response.p50, figures.response.p99, figures.response.p999,
-        figures.ideal.p50, figures.ideal.p99, figures.ideal.p999, figures.to_ideal.p50, figures.to_ideal.p99,
-        figures.to_ideal.p999);
+    out << fmt::format("{:<26}{:>7}", figures.name, figures.response.samples);
+    for (const percentiles& values : {figures.response, figures.ideal, figures.list}) {
+        out << fmt::format("{:>9.1f}{:>9.1f}{:>9.1f}", values.p50, values.p99, values.p999);
+    }
+    out << fmt::format("{:>8.2f}{:>8.2f}{:>8.2f}\n", figures.to_ideal.p50, figures.to_ideal.p99,
+                       figures.to_ideal.p999);
 }
 
 void print_counter(const std::string& title, const std::optional<counter_by_kind>& counter, std::size_t tasks,
@@ -212,8 +217,8 @@
 }
 
 load_report make_report(const workload& load, const std::vector<planned_call>& calls,
-                        const std::vector<ideal_response>& ideals, const std::vector<call_result>& results) {
-    const observed_run run{load, calls, ideals, results};
+                        const reference_responses& references, const std::vector<call_result>& results) {
+    const observed_run run{load, calls, references, results};
     load_report report;
     report.planned = calls.size();
     std::vector<std::string> teams;
@@ -264,10 +269,13 @@
     out << fmt::format("seed {}, {:.1f} calls/s, offered load {:.2f}, {} calls with {} tasks, {} complete\n",
                        report.seed, report.calls_per_second, report.offered_load, report.planned,
                        report.tasks, report.complete);
-    out << fmt::format("{:<26}{:>7}{:>27}{:>27}{:>24}\n", "", "", "response ms", "ideal ms",
+    out << fmt::format("{:<33}{:>27}{:>27}{:>27}{:>24}\n", "", "response ms", "ideal ms", "list schedule ms",
                        "response/ideal");
-    out << fmt::format("{:<26}{:>7}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>8}{:>8}\n", "call", "n", "p50",
-                       "p99", "p99.9", "p50", "p99", "p99.9", "p50", "p99", "p99.9");
+    out << fmt::format("{:<26}{:>7}", "call", "n");
+    for (int i = 0; i < 3; ++i) {
+        out << fmt::format("{:>9}{:>9}{:>9}", "p50", "p99", "p99.9");
+    }
+    out << fmt::format("{:>8}{:>8}{:>8}\n", "p50", "p99", "p99.9");
     print_figures(report.all, out);
     for (const response_figures& kind : report.kinds) {
         print_figures(kind, out);
--- a/cli/load_report.h
+++ b/cli/load_report.h
@@ -23,14 +23,15 @@
 };
 
 // Responses of complete calls in milliseconds.
-//   response, ideal  percentiles of each distribution
-//   to_ideal         percentiles of the quotient of each call
-//   to_alone         the same for the bound without other calls
+//   response, ideal, list  percentiles of each distribution
+//   to_ideal               percentiles of the quotient of each call
+//   to_alone               the same for the bound without other calls
 struct response_figures {
     std::string name;
     std::size_t calls = 0;
     percentiles response;
     percentiles ideal;
+    percentiles list;
     percentiles to_ideal;
     percentiles to_alone;
 };
@@ -73,6 +74,13 @@
     std::vector<std::string> unreachable_metrics;
 };
 
+// Computed responses that measured ones are compared with, in the order of the calls.
+struct reference_responses {
+    std::vector<ideal_response> ideal;
+    // Of the list schedule.
+    std::vector<std::chrono::duration<double>> list;
+};
+
 percentiles percentiles_of(std::vector<double> samples);
 
 // Jain's fairness index; 1 without values or if all are 0.
@@ -80,7 +88,7 @@
 
 // Fills everything that follows from the calls. ideals and results are in the order of calls.
 load_report make_report(const workload& load, const std::vector<planned_call>& calls,
-                        const std::vector<ideal_response>& ideals, const std::vector<call_result>& results);
+                        const reference_responses& references, const std::vector<call_result>& results);
 
 std::string report_json(const load_report& report);
 void print_report(const load_report& report, std::ostream& out);
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -1,3 +1,4 @@
+#include "cli/list_schedule.h"
 #include "cli/load_answer.h"
 #include "cli/load_command.h"
 #include "cli/load_ideal.h"
@@ -24,6 +25,13 @@
 
 constexpr double tolerance = 1e-6;
 
+const char* const workload_text = R"({"service": "form", "arrivals": {"process": "bursts", "burst_size": 4},
+    "calls": [{"name": "check", "kind": "job", "weight": 3, "teams": [{"name": "counter", "weight": 1}],
+               "tasks": {"min": 2, "max": 4}, "run_ms": {"min": 10, "max": 20}},
+              {"name": "lookup", "kind": "request", "method": "lookup", "weight": 1,
+               "teams": [{"name": "tax", "weight": 1}, {"name": "counter", "weight": 1}],
+               "tasks": {"min": 1, "max": 1}, "run_ms": {"min": 5, "max": 5}}]})";
+
 planned_call call_at(milliseconds send_at, std::vector<milliseconds> run_times) {
     planned_call call;
     call.send_at = send_at;
@@ -77,12 +85,38 @@
     EXPECT_NEAR(ms(result[1].ideal), 50, tolerance);
 }
 
-const char* const workload_text = R"({"service": "form", "arrivals": {"process": "bursts", "burst_size": 4},
-    "calls": [{"name": "check", "kind": "job", "weight": 3, "teams": [{"name": "counter", "weight": 1}],
-               "tasks": {"min": 2, "max": 4}, "run_ms": {"min": 10, "max": 20}},
-              {"name": "lookup", "kind": "request", "method": "lookup", "weight": 1,
-               "teams": [{"name": "tax", "weight": 1}, {"name": "counter", "weight": 1}],
-               "tasks": {"min": 1, "max": 1}, "run_ms": {"min": 5, "max": 5}}]})";
+// Guards against a list schedule that interrupts tasks, ignores speeds, or starts long calls first. Speeds 2
+// and 1. A (200 ms, 100 ms) starts at 0 and runs until 100 on both slots. B (300 ms) and C (80 ms) arrive at
+// 10: at 100 C takes speed 2 until 140, and B takes speed 1 until 400.
+TEST(list_schedule, starts_the_shortest_call_on_the_fastest_free_slot_without_interrupting) {
+    const std::vector<planned_call> calls{call_at({}, {milliseconds{100}, milliseconds{200}}),
+                                          call_at(milliseconds{10}, {milliseconds{300}}),
+                                          call_at(milliseconds{10}, {milliseconds{80}})};
+    const auto responses = list_schedule(calls, {{1, 1.0}, {1, 2.0}}, milliseconds{5});
+    EXPECT_NEAR(ms(responses[0]), 105, tolerance);
+    EXPECT_NEAR(ms(responses[1]), 395, tolerance);
+    EXPECT_NEAR(ms(responses[2]), 135, tolerance);
+}
+
+// Guards against bounds that an achievable schedule beats: strictly for each call, and in the mean of all.
+TEST(list_schedule, never_beats_the_bounds) {
+    const auto load = std::get<workload>(parse_workload(workload_text));
+    const std::vector<server_capacity> servers{{2, 1.0}, {2, 2.5}, {1, 4.0}};
+    const double rate = 0.8 * total_speed(servers) / mean_work(load).count();
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto calls = plan_calls(load, rate, std::chrono::seconds{5}, seed);
+        const auto ideals = compute_ideal(calls, servers, {});
+        const auto responses = list_schedule(calls, servers, {});
+        double ideal_sum = 0;
+        double list_sum = 0;
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            EXPECT_GE(responses[i].count(), ideals[i].alone.count() - tolerance) << "seed " << seed;
+            ideal_sum += ideals[i].ideal.count();
+            list_sum += responses[i].count();
+        }
+        EXPECT_GE(list_sum, ideal_sum) << "seed " << seed;
+    }
+}
 
 // Guards against findings that are reported one at a time or without their place.
 TEST(load_workload, reports_every_finding_with_its_place) {
@@ -252,6 +286,7 @@
     EXPECT_TRUE(report.at("wasted_messages").is_null());
     EXPECT_EQ(report.at("kinds").size(), 2U);
     EXPECT_GT(report.at("all").at("ideal_ms").at("p50"), 0);
+    EXPECT_GE(report.at("all").at("list_ms").at("p50"), report.at("all").at("ideal_ms").at("p50"));
 }
 
 // Guards against exit code 0 after an answer that belongs to another task.
