Give the files of each test process their own names

Cause: tests of one fixture run in several processes and wrote the same file in the temporary directory.

--- a/tests/backend_standin_test.cpp
+++ b/tests/backend_standin_test.cpp
@@ -4,7 +4,7 @@
 
 #include <chrono>
 #include <condition_variable>
-#include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <map>
@@ -15,6 +15,7 @@
 #include <asio.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace persimmonstile {
 namespace {
@@ -88,8 +89,8 @@
 
 // Guards against a stand-in that hides a second start of the same task, or loses it when it is killed.
 TEST(backend_standin, reports_tasks_that_start_twice) {
-    const std::string path = testing::TempDir() + "starts.jsonl";
-    std::remove(path.c_str());
+    const std::string path = testing::TempDir() + std::to_string(getpid()) + "_starts.jsonl";
+    std::filesystem::remove(path);
     backend_settings settings;
     settings.start_log = path;
     const backend_standin server{settings};
@@ -108,6 +109,7 @@
         tasks.push_back(json::parse(line).at("task"));
     }
     EXPECT_EQ(tasks, (std::vector<std::string>{"job/1", "job/2", "job/1"}));
+    std::filesystem::remove(path);
 }
 
 // Guards against a dispatcher that exceeds the announced slots unnoticed.
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -16,6 +16,7 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace persimmonstile {
 namespace {
@@ -253,6 +254,11 @@
 
 class load_command : public testing::Test {
 protected:
+    ~load_command() override {
+        std::filesystem::remove(directory_ + "workload.json");
+        std::filesystem::remove(directory_ + "servers.json");
+    }
+
     int run(const std::string& url) {
         std::ofstream{directory_ + "workload.json"} << workload_text;
         std::ofstream{directory_ + "servers.json"} << R"([{"slots": 8, "speed": 2.5}])";
@@ -262,7 +268,8 @@
                         {out_, err_});
     }
 
-    const std::string directory_ = testing::TempDir();
+    // Tests run at the same time in several processes, so the files of each have their own names.
+    const std::string directory_ = testing::TempDir() + std::to_string(getpid()) + "_";
     std::ostringstream out_;
     std::ostringstream err_;
 };
--- a/tests/submit_command_test.cpp
+++ b/tests/submit_command_test.cpp
@@ -3,11 +3,13 @@
 #include "tests/scripted_http_server.h"
 
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace persimmonstile {
 namespace {
@@ -81,7 +83,7 @@
 
 // Guards against tasks from a file that are dropped or reordered.
 TEST(submit_command, reads_tasks_from_a_file) {
-    const std::string path = testing::TempDir() + "tasks.json";
+    const std::string path = testing::TempDir() + std::to_string(getpid()) + "_tasks.json";
     std::ofstream{path} << R"([{"a":1},{"b":2}])";
     std::string body;
     const scripted_http_server entry{[&](const scripted_request& request) {
@@ -92,6 +94,7 @@
     EXPECT_EQ(result.code, exit_done) << result.err;
     EXPECT_EQ(json::parse(body).at("tasks"), json::parse(R"([{"a":1},{"b":2}])"));
     EXPECT_EQ(json::parse(result.out).at("outcome"), "complete");
+    std::filesystem::remove(path);
 }
 
 // Guards against a call that starts with missing or contradictory options.
