--- a/cli/load_ideal.cpp
+++ b/cli/load_ideal.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <numeric>
+#include <set>
 #include <tuple>
 
 namespace persimmonstile {
@@ -12,8 +13,9 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Work left below this is rounding error.
-constexpr double finished_work = 1e-9;
+// Work left below this is rounding error: after a day of schedule time, one step of a double is 1.5e-11 s,
+// which a call with 1000 fast slots multiplies by some thousands.
+constexpr double finished_work = 1e-7;
 
 // A call in the relaxed schedule: divisible work on at most `tasks` slots.
 struct fluid_call {
@@ -59,19 +61,20 @@
 }
 
 // Advances the relaxed schedule from event to event. Calls with the least work left get the fastest slots.
+// Only calls with slots are touched at an event, because under overload thousands of others wait.
 class fluid_schedule {
 public:
     explicit fluid_schedule(const std::vector<double>& sums)
         : sums_(sums) {}
 
     void add(fluid_call call) {
-        active_.push_back(call);
+        waiting_.insert(call);
         assign();
     }
 
     // Runs until the given time and writes the end of each call that ends before.
     void run_until(double time, std::vector<double>& ends) {
-        while (!active_.empty()) {
+        while (!served_.empty()) {
             const double end = now_ + time_to_next_end();
             if (end > time) {
                 break;
@@ -83,19 +86,22 @@
     }
 
 private:
-    // Calls without a slot have rate 0; some call always has one.
+    struct has_less_work {
+        bool operator()(const fluid_call& a, const fluid_call& b) const {
+            return std::tie(a.work_left, a.index) < std::tie(b.work_left, b.index);
+        }
+    };
+
     double time_to_next_end() const {
         double least = std::numeric_limits<double>::infinity();
-        for (const fluid_call& call : active_) {
-            if (call.rate > 0) {
-                least = std::min(least, call.work_left / call.rate);
-            }
+        for (const fluid_call& call : served_) {
+            least = std::min(least, call.work_left / call.rate);
         }
         return least;
     }
 
     void advance(double time) {
-        for (fluid_call& call : active_) {
+        for (fluid_call& call : served_) {
             call.work_left -= call.rate * (time - now_);
         }
         now_ = time;
@@ -105,30 +111,34 @@
         const auto finished = [](const fluid_call& call) {
             return call.work_left <= finished_work;
         };
-        for (const fluid_call& call : active_) {
+        for (const fluid_call& call : served_) {
             if (finished(call)) {
                 ends[call.index] = now_;
             }
         }
-        active_.erase(std::remove_if(active_.begin(), active_.end(), finished), active_.end());
+        served_.erase(std::remove_if(served_.begin(), served_.end(), finished), served_.end());
         assign();
     }
 
+    // Hands out all slots anew.
     void assign() {
-        std::sort(active_.begin(), active_.end(), [](const fluid_call& a, const fluid_call& b) {
-            return std::tie(a.work_left, a.index) < std::tie(b.work_left, b.index);
-        });
+        waiting_.insert(served_.begin(), served_.end());
+        served_.clear();
         const std::size_t slots = sums_.size() - 1;
         std::size_t used = 0;
-        for (fluid_call& call : active_) {
+        while (used < slots && !waiting_.empty()) {
+            fluid_call call = *waiting_.begin();
+            waiting_.erase(waiting_.begin());
             const std::size_t until = std::min(slots, used + call.tasks);
             call.rate = sums_[until] - sums_[used];
             used = until;
+            served_.push_back(call);
         }
     }
 
     const std::vector<double>& sums_;
-    std::vector<fluid_call> active_;
+    std::vector<fluid_call> served_;
+    std::set<fluid_call, has_less_work> waiting_;
     double now_ = 0;
 };
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -86,6 +86,26 @@
     EXPECT_NEAR(ms(result[1].ideal), 50, tolerance);
 }
 
+// Guards against a computation that takes minutes, never ends or loses work when thousands of calls wait. At
+// 20 times the capacity all slots are busy from the first arrival until the last few calls, so the schedule
+// ends when the whole work is done at full speed, within one second.
+TEST(load_ideal, serves_an_overload_at_full_speed) {
+    const auto load = std::get<workload>(parse_workload(workload_text));
+    const std::vector<server_capacity> servers{{2, 1.0}, {2, 2.5}, {1, 4.0}};
+    const double rate = 20 * total_speed(servers) / mean_work(load).count();
+    const auto calls = plan_calls(load, rate, std::chrono::seconds{30}, 1);
+    const auto ideals = compute_ideal(calls, servers, {});
+    std::chrono::duration<double> work{0};
+    std::chrono::duration<double> end{0};
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+        work += std::accumulate(calls[i].run_times.begin(), calls[i].run_times.end(), milliseconds{0});
+        end = std::max<std::chrono::duration<double>>(end, calls[i].send_at + ideals[i].ideal);
+    }
+    const double shortest = work.count() / total_speed(servers);
+    EXPECT_GE(end.count(), shortest);
+    EXPECT_LE(end.count(), shortest + 1);
+}
+
 // Guards against a list schedule that interrupts tasks, ignores speeds, or starts long calls first. Speeds 2
 // and 1. A (200 ms, 100 ms) starts at 0 and runs until 100 on both slots. B (300 ms) and C (80 ms) arrive at
 // 10: at 100 C takes speed 2 until 140, and B takes speed 1 until 400.
