--- a/cli/command_line.cpp
+++ b/cli/command_line.cpp
@@ -14,7 +14,7 @@
     std::string text = std::string{"usage: "} + program_name +
                        " COMMAND [ARGUMENTS]\n\n"
                        "Operates a dispatcher for parallel jobs of short tasks.\n\n";
-    text_table table{{"COMMAND", ""}};
+    text_table table{{"COMMAND", "PURPOSE"}};
     for (const command& item : commands) {
         table.add_row({std::string{item.name}, std::string{item.summary}});
     }
--- a/tests/documentation_test.cpp
+++ b/tests/documentation_test.cpp
@@ -13,9 +13,9 @@
 
 using ::testing::HasSubstr;
 
-// The page in the source tree: above this file if the compiler recorded its full path, otherwise above the
-// build folder that tests run in.
-std::string operations_page() {
+// The source tree: above this file if the compiler recorded its full path, otherwise above the build folder
+// that tests run in.
+std::filesystem::path source_folder() {
     std::filesystem::path folder = std::filesystem::absolute(__FILE__).parent_path();
     if (!std::filesystem::exists(folder)) {
         folder = std::filesystem::current_path();
@@ -23,8 +23,12 @@
     while (!std::filesystem::exists(folder / "docs" / "operations.md") && folder != folder.root_path()) {
         folder = folder.parent_path();
     }
+    return folder;
+}
+
+std::string operations_page() {
     std::ostringstream text;
-    text << std::ifstream{folder / "docs" / "operations.md"}.rdbuf();
+    text << std::ifstream{source_folder() / "docs" / "operations.md"}.rdbuf();
     return text.str();
 }
 
@@ -49,5 +53,24 @@
     }
 }
 
+// Guards against example settings that a daemon refuses after a change of the rules.
+TEST(documentation, example_settings_have_no_findings) {
+    std::size_t checked = 0;
+    for (const auto& file : std::filesystem::recursive_directory_iterator{source_folder() / "examples"}) {
+        const std::string folder = file.path().parent_path().filename();
+        if (folder != "entries" && folder != "agents") {
+            continue;
+        }
+        ++checked;
+        const auto result = read_settings(file.path());
+        if (const auto* problems = std::get_if<findings>(&result)) {
+            for (const finding& problem : *problems) {
+                ADD_FAILURE() << to_text(problem);
+            }
+        }
+    }
+    EXPECT_GT(checked, 0U);
+}
+
 } // namespace
 } // namespace persimmonstile
