Admit long queues by the entry's own part and keep admitted deadlines

Cause: at the start of a burst the last load reports still show the other entries as moderately loaded, so that each entry counted on far more than its part of the slots. Jobs that were admitted early in the burst were then passed by smaller ones until they missed their deadline. Separately, a decision computed the same exponentials and limits several times.

A queue of more than 2 s is now judged by the entry's own part, and a job is passed only while it can still meet its deadline. Estimates keep their value beside its logarithm, and the silence check runs only when it is due.

--- a/coordination/admission.cpp
+++ b/coordination/admission.cpp
@@ -35,22 +35,27 @@
 
 // Upper bound on the time until the last task of the job starts, in seconds.
 double expected_wait(const admission_load& load, std::size_t tasks) {
+    const double rate = std::max(load.rate, 1e-9);
+    // Later, smaller jobs pass the job while it waits, but for no longer than the passing time.
+    const double undisturbed = wait_without_passing(load, tasks);
+    const double while_waiting = undisturbed / (1 - std::min(load.smaller_load, 0.99));
+    const double passing = load.passing_time * static_cast<double>(tasks) / rate;
+    return std::min(while_waiting, undisturbed + load.smaller_load * passing);
+}
+
+} // namespace
+
+double wait_without_passing(const admission_load& load, std::size_t tasks) {
     const auto own = static_cast<double>(tasks);
     const double rate = std::max(load.rate, 1e-9);
     const double after_all = (static_cast<double>(load.service_waiting) + own) / rate;
     const double after_team = (load.team_ahead + own) / (rate * load.team_part);
-    // Later, smaller jobs pass the job while it waits, but for no longer than the passing time.
-    const double undisturbed = std::min(after_all, after_team);
-    const double while_waiting = undisturbed / (1 - std::min(load.smaller_load, 0.99));
-    const double while_passing = undisturbed + load.smaller_load * load.passing_time * own / rate;
-    const double wait = std::min(while_waiting, while_passing);
+    const double wait = std::min(after_all, after_team);
     if (load.team_rate_limit <= 0)
         return wait;
     return std::max(wait, (load.team_ahead + own) / load.team_rate_limit);
 }
 
-} // namespace
-
 std::optional<job_failed> check_runnable(const fleet_view* fleet, const job_spec& spec,
                                          service_presence presence) {
     if (fleet == nullptr)
--- a/coordination/admission.h
+++ b/coordination/admission.h
@@ -44,6 +44,9 @@
 std::optional<job_failed> check_queue(const admission_load& load, std::uint32_t queue_limit,
                                       std::size_t tasks);
 
+// Upper bound on the time until the last task of the job starts, in seconds, if no later job goes first.
+double wait_without_passing(const admission_load& load, std::size_t tasks);
+
 // Refuses a job that is not expected to end within the time left.
 std::optional<job_failed> check_deadline(const admission_load& load, std::size_t tasks,
                                          std::chrono::nanoseconds time_left);
--- a/coordination/scheduler.cpp
+++ b/coordination/scheduler.cpp
@@ -31,6 +31,9 @@
 // 120% load a factor of 16 completes 98% of the capacity in time, a factor of 4 only 92% (docs/placement.md).
 constexpr double size_penalty = 16;
 
+// With a longer queue than this, an entry counts only on its own part of the slots.
+constexpr double longest_shared_wait_seconds = 2;
+
 // A job is given up early only if it clearly needs more than the time left, because the rate is an estimate.
 constexpr double hopeless_margin = 0.8;
 
@@ -119,6 +122,10 @@
     // Already queued; the job table filters resubmissions.
     if (record.end > 0)
         return std::nullopt;
+    // Smaller jobs may pass this one only while it can still meet its deadline.
+    const double needed = wait_without_passing(load_for(spec), spec.tasks.size());
+    const double latest_start = seconds_between(time_point{}, deadline) - needed;
+    record.order = std::clamp(latest_start, seconds_between(time_point{}, now), record.order);
     record.end = static_cast<task_index>(spec.tasks.size());
     change_waiting(record, record.end);
     service_state& service = services_[record.service];
@@ -148,6 +155,12 @@
     load.service_waiting = service.waiting;
     load.shares_queue = fleet_->teams.size() > 1;
     load.rate = true_rate(service);
+    // A long queue here means that the other entries have one, too, although their last reports may not show
+    // it yet. The entry then gets its part of the slots and no more.
+    const bool long_queue =
+        static_cast<double>(service.waiting + spec.tasks.size()) > load.rate * longest_shared_wait_seconds;
+    if (long_queue && service.rate > 0)
+        load.rate *= std::min(1.0, service.part_rate / service.rate);
     load.smaller_load = service.busy * service.mix.part_below(size);
     load.passing_time = size_penalty;
     const auto kind_found = service.class_by_method.find(spec.method);
@@ -729,16 +742,19 @@
     const bool counted = serving && !ejected;
     const double places = std::max<double>(own_part(backend.slots), backend.slots - others);
     const double rate = counted ? places / run_seconds(state, backend) : 0;
+    const double part_rate = counted ? backend.slots / (entries_ * run_seconds(state, backend)) : 0;
     const double failure_ratio = counted ? backend.health.failure_ratio() : 0;
     state.serving += (serving ? 1 : 0) - (backend.is_serving ? 1 : 0);
     state.ejected += (ejected ? 1 : 0) - (backend.is_ejected ? 1 : 0);
     // Rounding errors of the sums end here at the latest.
     const bool any = state.serving > state.ejected;
     state.rate = any ? state.rate + rate - backend.rate : 0;
+    state.part_rate = any ? state.part_rate + part_rate - backend.part_rate : 0;
     state.failure_sum = any ? state.failure_sum + failure_ratio - backend.failure_ratio : 0;
     backend.is_serving = serving;
     backend.is_ejected = ejected;
     backend.rate = rate;
+    backend.part_rate = part_rate;
     backend.failure_ratio = failure_ratio;
 }
 
@@ -747,45 +763,73 @@
 void basic_scheduler<policy>::refresh(std::uint32_t service, std::uint32_t number, time_point now) {
     service_state& state = services_[service];
     scheduler_backend& backend = state.backends[number];
-    ejection& health = backend.health;
-    const double run = run_seconds(state, backend);
-    const double half_life = std::max(run, shortest_load_half_life_seconds);
-    const double age = std::max(0.0, seconds_between(backend.others_at, now));
-    const double others = backend.others * std::exp2(-age / half_life);
-    const auto own = static_cast<double>(backend.in_flight.size());
-
-    const bool silent = backend.is_serving && own > 0 && !health.is_ejected() &&
-                        seconds_between(backend.quiet_since, now) > silence_limit(backend);
-    if (silent && may_eject(state))
-        health.eject(ejection_cause::silence, now);
+    eject_if_silent(service, number, now);
+    const double others = others_now(state, backend, now);
     update_sums(service, number, others);
-    state.placement.remove(number);
-    if (!backend.is_serving)
+    if (const std::optional<placement_load> load = offer(service, number, others, now))
+        state.placement.update(number, *load, random_);
+    else
+        state.placement.remove(number);
+}
+
+// Ejects the backend server if it is silent, or sees to it that this is checked later.
+template <placement_policy policy>
+void basic_scheduler<policy>::eject_if_silent(std::uint32_t service, std::uint32_t number, time_point now) {
+    scheduler_backend& backend = services_[service].backends[number];
+    const bool watched = backend.is_serving && !backend.in_flight.empty() && !backend.health.is_ejected();
+    if (!watched || (backend.wakeup && *backend.wakeup <= now + silence_check_interval))
         return;
+    const time_point limit = after_seconds(backend.quiet_since, silence_limit(backend));
+    if (now > limit && may_eject(services_[service]))
+        backend.health.eject(ejection_cause::silence, now);
+    else
+        wake_at(service, number, std::max(limit, now + silence_check_interval));
+}
 
-    const time_point silence_check = after_seconds(backend.quiet_since, silence_limit(backend));
-    if (own > 0 && !health.is_ejected())
-        wake_at(service, number, std::max(silence_check, now + silence_check_interval));
+// Tasks of other entries at the backend server. The report loses its worth as these tasks end.
+template <placement_policy policy>
+double basic_scheduler<policy>::others_now(const service_state& service, const scheduler_backend& backend,
+                                           time_point now) const {
+    if (backend.others == 0)
+        return 0;
+    const double half_life = std::max(run_seconds(service, backend), shortest_load_half_life_seconds);
+    const double age = std::max(0.0, seconds_between(backend.others_at, now));
+    return backend.others * std::exp2(-age / half_life);
+}
+
+// The load with which the backend server is offered to the placement policy, or nullopt if it may not receive
+// a task now; then a wakeup is set for the time at which it may.
+template <placement_policy policy>
+std::optional<placement_load> basic_scheduler<policy>::offer(std::uint32_t service, std::uint32_t number,
+                                                             double others, time_point now) {
+    const service_state& state = services_[service];
+    const scheduler_backend& backend = state.backends[number];
+    const ejection& health = backend.health;
+    if (!backend.is_serving)
+        return std::nullopt;
     if (now < health.paused_until()) {
         wake_at(service, number, health.paused_until());
-        return;
+        return std::nullopt;
     }
+    const auto own = static_cast<double>(backend.in_flight.size());
     if (health.is_ejected() && is_ejection_enforced(state)) {
-        // A probe goes before all other choices, because it only tells something if it is sent.
         if (now < health.probe_at())
             wake_at(service, number, health.probe_at());
         else if (own + 1 <= backend.slots)
-            state.placement.update(number, {backend.slots, 0, 0}, random_);
-        return;
+            // A probe goes before all other choices, because it only tells something if it is sent.
+            return placement_load{backend.slots, 0, 0};
+        return std::nullopt;
     }
+    const double run = run_seconds(state, backend);
     const double places = backend.slots + prefetch_per_agent;
     const double part = own_part(backend.slots);
     const double spare = std::max(0.0, places - others - part);
     const double limit = part + (entries_ > 1 ? shared_part * spare : spare);
     if (own + 1 <= std::min<double>(limit, health.window()))
-        state.placement.update(number, {backend.slots, own + others, run}, random_);
-    else if (own + 1 <= std::min<double>(places, health.window()))
-        wake_at(service, number, after_seconds(now, half_life));
+        return placement_load{backend.slots, own + others, run};
+    if (others > 0 && own + 1 <= std::min<double>(places, health.window()))
+        wake_at(service, number, after_seconds(now, std::max(run, shortest_load_half_life_seconds)));
+    return std::nullopt;
 }
 
 template <placement_policy policy>
--- a/coordination/scheduler.h
+++ b/coordination/scheduler.h
@@ -125,6 +125,10 @@
     std::uint32_t own_part(std::uint32_t slots) const;
     double run_seconds(const service_state& service, const scheduler_backend& backend) const;
     void refresh(std::uint32_t service, std::uint32_t number, time_point now);
+    void eject_if_silent(std::uint32_t service, std::uint32_t number, time_point now);
+    double others_now(const service_state& service, const scheduler_backend& backend, time_point now) const;
+    std::optional<placement_load> offer(std::uint32_t service, std::uint32_t number, double others,
+                                        time_point now);
     void refresh_agent(const scheduler_agent& agent, time_point now);
     void update_sums(std::uint32_t service, std::uint32_t number, double others);
     double silence_limit(const scheduler_backend& backend) const;
--- a/coordination/scheduler_service.h
+++ b/coordination/scheduler_service.h
@@ -38,6 +38,8 @@
     std::size_t ejected = 0;
     // Tasks of typical run time per second that the backend servers can complete for this entry.
     double rate = 0;
+    // The same for this entry's part of the slots alone.
+    double part_rate = 0;
     // Sum of the failure ratios of the backend servers that are not ejected.
     double failure_sum = 0;
     // A backend server has offered the service at some time.
--- a/coordination/speed_estimate.cpp
+++ b/coordination/speed_estimate.cpp
@@ -52,17 +52,15 @@
     const double usual_weight = 1.0 / std::min(averaged_samples_, samples_ + prior_samples);
     const double weight = is_change ? change_weight : usual_weight;
     log_value_ += weight * std::clamp(difference, -outlier_limit, outlier_limit);
+    value_ = std::exp(log_value_);
     ++samples_;
 }
 
 void speed_estimate::reset(double value) {
     log_value_ = log_of(value);
+    value_ = value;
     samples_ = 1;
     outliers_ = 0;
 }
 
-double speed_estimate::value_or(double prior) const {
-    return samples_ == 0 ? prior : std::exp(log_value_);
-}
-
 } // namespace persimmonstile
--- a/coordination/speed_estimate.h
+++ b/coordination/speed_estimate.h
@@ -20,11 +20,13 @@
     // Forgets the past except for this value.
     void reset(double value);
 
-    double value_or(double prior) const;
+    double value_or(double prior) const { return samples_ == 0 ? prior : value_; }
     std::uint32_t samples() const { return samples_; }
 
 private:
     double log_value_ = 0;
+    // Kept beside its logarithm, because it is read several times for each sample.
+    double value_ = 0;
     std::uint32_t averaged_samples_ = 0;
     std::uint32_t samples_ = 0;
     // Consecutive outliers, counted upwards for high and downwards for low ones.
