--- a/bench/scheduler_benchmark.cpp
+++ b/bench/scheduler_benchmark.cpp
@@ -7,12 +7,14 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
 namespace persimmonstile {
 namespace {
@@ -108,17 +110,77 @@
 }
 BENCHMARK(report_and_assign)->ArgsProduct({{11, 100, 1000, 12000}, {100, 10000}});
 
-// Cost of an admission and a cancellation. Argument: waiting jobs.
+// Cost of cancelling the oldest of the waiting jobs and admitting another one. Argument: waiting jobs.
 void admit_and_withdraw(benchmark::State& state) {
-    loaded_scheduler loaded{11, static_cast<std::uint32_t>(state.range(0))};
+    loaded_scheduler loaded{11, 100};
+    std::deque<job_id> waiting;
+    const auto admit_one = [&] {
+        waiting.push_back(loaded.next_id());
+        loaded.target().admit(waiting.back(), loaded.spec(), loaded.now() + std::chrono::hours{1},
+                              loaded.now());
+    };
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        admit_one();
     for (auto _ : state) {
-        const job_id job = loaded.next_id();
-        loaded.target().admit(job, loaded.spec(), loaded.now() + std::chrono::hours{1}, loaded.now());
-        loaded.target().withdraw(job);
+        loaded.target().withdraw(waiting.front());
+        waiting.pop_front();
+        admit_one();
     }
 }
 BENCHMARK(admit_and_withdraw)->Arg(100)->Arg(10000);
 
+std::size_t heap_bytes() {
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+// Bytes on the heap for each added agent, team or job, measured at the allocator.
+double bytes_each(std::uint32_t count, const std::function<void(std::uint32_t)>& add) {
+    const std::size_t before = heap_bytes();
+    for (std::uint32_t i = 0; i < count; ++i)
+        add(i);
+    return static_cast<double>(heap_bytes() - before) / count;
+}
+
+// Memory per agent (8 slots, one service), per agent with all slots busy, per team and per waiting job of 10
+// tasks, in bytes.
+void memory(benchmark::State& state) {
+    for (auto _ : state) {
+        constexpr std::uint32_t agents = 12000;
+        constexpr std::uint32_t teams = 670;
+        constexpr std::uint32_t jobs = 20000;
+        auto fleet = std::make_shared<fleet_view>(*fleet_of_one_service());
+        for (std::uint32_t i = 0; i < teams; ++i)
+            fleet->teams["team-" + std::to_string(i)];
+        scheduler target;
+        target.set_fleet(fleet);
+        const time_point now{std::chrono::seconds{1}};
+        const time_point deadline = now + std::chrono::hours{1};
+        state.counters["agent"] = bytes_each(agents, [&](std::uint32_t i) {
+            agent_status status;
+            status.agent = {"agent-" + std::to_string(i), i + 1};
+            status.services = {{service_name, slots}};
+            target.agent_changed(status, now);
+        });
+        job_spec spec = spec_of(loaded_scheduler::tasks_per_job);
+        const auto admit = [&](const std::string& prefix, std::uint32_t i) {
+            target.admit(prefix + std::to_string(100'000'000 + i), spec, deadline, now);
+        };
+        state.counters["team"] = bytes_each(teams, [&](std::uint32_t i) {
+            spec.team = "team-" + std::to_string(i);
+            admit("0190163d-8694-739b-aea5-", i);
+        });
+        spec.team = "team";
+        const double job = bytes_each(jobs, [&](std::uint32_t i) { admit("0190163d-8694-739b-aea6-", i); });
+        state.counters["job"] = job;
+        state.counters["team"] = state.counters["team"] - job;
+        state.counters["busy_agent"] = state.counters["agent"] + bytes_each(1, [&](std::uint32_t) {
+                                                                     target.take_assignments(now);
+                                                                 }) / agents;
+    }
+}
+BENCHMARK(memory)->Iterations(1);
+
 // Quality of the placement: 11 backend servers of speeds 1 to 4, 3 entries, fixed seeds, simulated time.
 // Argument: load in percent. The counters are averages over the seeds:
 //   p50, p99      quantiles of the response time relative to those of the ideal, over completed jobs
