Keep ownership alive when a grantor restarts while the set grows

Cause: histories with faults found two errors. A new grantor recovered only after it was named, so a restart of another one at that moment left both waiting for each other for good. An entry that resumed after a pause ended a takeover of an old table and reported partitions as gained that it could not act for.

A spare agent now recovers before it is named and grants at once. Its missing records are made good by the owner of partition 0, which has every record confirmed by a majority again before the next change of the set. Grantors record nothing for an entry with an older table, and a takeover ends only under a lease.

--- a/coordination/grantor.cpp
+++ b/coordination/grantor.cpp
@@ -1,6 +1,7 @@
 #include "coordination/grantor.h"
 
 #include "coordination/grant_set.h"
+#include "coordination/ownership_limits.h"
 #include "state/limits.h"
 
 #include <algorithm>
@@ -8,6 +9,13 @@
 
 namespace persimmonstile {
 
+namespace {
+
+// The same for all questions of one incarnation: any answer was given after it started.
+constexpr std::uint64_t recovery_nonce = 1;
+
+} // namespace
+
 grantor::grantor(incarnation self, time_point now)
     : self_{std::move(self)}
     , last_request_at_{now} {}
@@ -22,12 +30,15 @@
     reply.version = table_.version;
     if (recovering_)
         return reply;
-    reply.granted = request.version >= table_.version && request.revision >= own_revision;
+    reply.silent_owners = silent_owners(now);
+    // An entry with an older table may count a majority of an older grantor set.
+    if (request.version < table_.version)
+        return reply;
+    reply.granted = request.revision >= own_revision;
     for (const incarnation& agent : request.new_agents)
         record(agent, now);
     drop_replaced_records(now);
     reply.recorded = request.new_agents;
-    reply.silent_owners = silent_owners(now);
     return reply;
 }
 
@@ -46,12 +57,13 @@
 
 std::optional<recovery_request> grantor::recovery_due(time_point now) {
     finish_wait(now);
-    if (!recovering_ || !is_named() || grants_from_)
+    const bool may_be_named = is_named() || table_.grantors.size() < maximum_grantors;
+    if (!recovering_ || table_.grantors.empty() || !may_be_named || grants_from_)
         return std::nullopt;
     if (asked_at_ && now - *asked_at_ < grant_renewal_interval)
         return std::nullopt;
     asked_at_ = now;
-    return recovery_request{self_, nonce_};
+    return recovery_request{self_, recovery_nonce};
 }
 
 std::optional<recovery_reply> grantor::answer(const recovery_request& request) const {
@@ -61,15 +73,13 @@
 }
 
 void grantor::recovered(const recovery_reply& reply, time_point now) {
-    if (!recovering_ || reply.asker != self_ || reply.nonce != nonce_ || reply.grantor.name == self_.name)
+    if (!recovering_ || reply.asker != self_ || reply.nonce != recovery_nonce ||
+        reply.grantor.name == self_.name)
         return;
     for (const incarnation& agent : reply.recorded)
         record(agent, now);
-    // The answer is counted under the table it names, because adopting a table without this grantor starts
-    // the recovery afresh.
+    answered_.insert(reply.grantor.name);
     adopt(reply.table, now);
-    if (reply.nonce == nonce_)
-        answered_.insert(reply.grantor.name);
     check_answers(now);
 }
 
@@ -90,20 +100,9 @@
         heard_at_.try_emplace(entry.entry, now);
     const bool follows_assured = assured_version_ && table_.version == *assured_version_ + 1;
     assured_version_.reset();
-    if (!is_named())
-        start_recovery();
-    else if (follows_assured)
+    if (follows_assured && is_named())
         recovering_ = false;
-    else
-        check_answers(now);
-}
-
-// A grantor that is not named misses what the named ones record, so it recovers when it is named again.
-void grantor::start_recovery() {
-    recovering_ = true;
-    ++nonce_;
-    answered_.clear();
-    grants_from_.reset();
+    check_answers(now);
 }
 
 void grantor::start_without_recovery(const owner_table& table) {
@@ -124,7 +123,7 @@
     const auto answered = [&](const std::string& name) {
         return name != self_.name && answered_.contains(name);
     };
-    if (!is_named() || !majority_satisfies(table_.grantors, answered))
+    if (!majority_satisfies(table_.grantors, answered))
         grants_from_.reset();
     else if (!grants_from_)
         grants_from_ = now + grant_period;
--- a/coordination/grantor.h
+++ b/coordination/grantor.h
@@ -39,7 +39,7 @@
     std::optional<recovery_reply> answer(const recovery_request& request) const;
     void recovered(const recovery_reply& reply, time_point now);
 
-    // True until this grantor may grant, also while the table does not name it.
+    // True until this grantor may grant. An agent that may become a grantor recovers before it is named.
     bool is_recovering() const { return recovering_; }
     const owner_table& table() const { return table_; }
     // Epoch of the partition in the acknowledged table, 0 if none is known.
@@ -48,7 +48,6 @@
 private:
     bool is_named() const;
     void adopt(const owner_table& table, time_point now);
-    void start_recovery();
     void start_without_recovery(const owner_table& table);
     void check_answers(time_point now);
     void finish_wait(time_point now);
@@ -63,7 +62,6 @@
     bool recovering_ = true;
     // Version of the table without grantors that was assured, until the next table arrives.
     std::optional<table_version> assured_version_;
-    std::uint64_t nonce_ = 1;
     std::set<std::string> answered_;
     std::optional<time_point> asked_at_;
     std::optional<time_point> grants_from_;
--- a/coordination/ownership.cpp
+++ b/coordination/ownership.cpp
@@ -91,6 +91,8 @@
     }
     state.connected = true;
     state.changed_at = now;
+    if (!state.recorded)
+        pending_records_.try_emplace(agent);
     push_table(state, actions);
     renew_at_ = now;
     advance(now, actions);
@@ -103,6 +105,8 @@
     if (state != nullptr && state->connected) {
         state->connected = false;
         state->changed_at = now;
+        std::erase_if(pending_records_,
+                      [&](const auto& record) { return record.first == agent && !record.second.inherited; });
     }
     advance(now, actions);
     return actions;
@@ -324,6 +328,12 @@
 }
 
 void ownership::advance_takeovers(time_point now, ownership_actions& actions) {
+    // A takeover ends only under a lease: without one its table may be out of date, for example after a
+    // pause.
+    const bool holds_lease = lease_left(now).count() > 0;
+    const auto is_done = [&](const takeover& pending) {
+        return holds_lease && pending.is_complete();
+    };
     for (takeover& pending : takeovers_) {
         const auto acknowledged = [&](const std::string& name) -> std::optional<incarnation> {
             const agent_state* grantor = find_grantor(name);
@@ -336,13 +346,19 @@
                 actions.sends.push_back({grantor, recovery_request{self_, pending.nonce()}});
             continue;
         }
+        if (!holds_lease)
+            continue;
         for (partition_gain& gain : pending.gains()) {
             active_[gain.partition] = gain.epoch;
             actions.gained.push_back(std::move(gain));
         }
-        settled_version_ = std::max(settled_version_, pending.version());
+        if (pending.version() != table_.version)
+            continue;
+        settled_version_ = table_.version;
+        if (table_.partitions.front().owner == self_)
+            inherit_records(pending);
     }
-    std::erase_if(takeovers_, [](const takeover& pending) { return pending.is_complete(); });
+    std::erase_if(takeovers_, is_done);
 }
 
 // --- grants and records ---
@@ -368,16 +384,25 @@
         if (grantor != nullptr && grantor->connected)
             actions.sends.push_back({grantor->id, request});
     }
+    // Other agents answer no grant requests, so a lost table is only noticed by its missing acknowledgement.
+    const bool seeks_spares = owns(0, now) && table_.grantors.size() < maximum_grantors;
     for (const auto& [name, agent] : agents_) {
-        if (agent.connected && agent.known < table_.version && !contains(table_.grantors, name))
+        const table_version reached = seeks_spares ? agent.acknowledged : agent.known;
+        if (agent.connected && reached < table_.version && !contains(table_.grantors, name))
             push_table(agent, actions);
     }
 }
 
+// Connected agents come last, because a grantor takes the last listed incarnation of a name for the live one.
 std::vector<incarnation> ownership::agents_to_record(bool refresh) const {
     std::vector<incarnation> agents;
+    for (const auto& [agent, record] : pending_records_) {
+        if (record.inherited)
+            agents.push_back(agent);
+    }
+    const bool list_all = refresh || !agents.empty();
     for (const auto& [name, agent] : agents_) {
-        if (agent.connected && (refresh || !agent.recorded))
+        if (agent.connected && (list_all || !agent.recorded))
             agents.push_back(agent.id);
     }
     return agents;
@@ -385,28 +410,30 @@
 
 void ownership::note_records(const grant_reply& reply, time_point sent, time_point now) {
     for (const incarnation& recorded : reply.recorded) {
-        agent_state* agent = find_agent(recorded);
-        if (agent == nullptr || agent->recorded)
+        const auto pending = pending_records_.find(recorded);
+        if (pending == pending_records_.end())
             continue;
         const auto [confirmation, added] =
-            agent->confirmations.try_emplace(reply.grantor, record_confirmation{now, sent});
+            pending->second.confirmations.try_emplace(reply.grantor, record_confirmation{now, sent});
         if (!added)
             confirmation->second.last_sent = std::max(confirmation->second.last_sent, sent);
-        agent->recorded = is_confirmed(*agent);
-        if (agent->recorded)
-            agent->confirmations.clear();
+        if (!is_confirmed(pending->second))
+            continue;
+        if (agent_state* agent = find_agent(recorded))
+            agent->recorded = true;
+        pending_records_.erase(pending);
     }
 }
 
 // A majority has to hold the record at one common instant: a grantor that restarts before the majority is
 // complete may have recovered without it.
-bool ownership::is_confirmed(const agent_state& agent) const {
+bool ownership::is_confirmed(const pending_record& record) const {
     std::vector<record_confirmation> current;
     for (const std::string& name : table_.grantors) {
         const agent_state* grantor = find_grantor(name);
         const auto found =
-            grantor == nullptr ? agent.confirmations.end() : agent.confirmations.find(grantor->id);
-        if (found != agent.confirmations.end())
+            grantor == nullptr ? record.confirmations.end() : record.confirmations.find(grantor->id);
+        if (found != record.confirmations.end())
             current.push_back(found->second);
     }
     return std::any_of(current.begin(), current.end(), [&](const record_confirmation& instant) {
@@ -418,6 +445,18 @@
     });
 }
 
+// A new grantor lacks older records, and one that left takes its copies along. Before the set changes again,
+// a majority of the present one has to hold every record.
+void ownership::inherit_records(const takeover& completed) {
+    for (const incarnation& agent : completed.recorded())
+        pending_records_[agent] = pending_record{true, {}};
+}
+
+bool ownership::has_inherited_records() const {
+    return std::any_of(pending_records_.begin(), pending_records_.end(),
+                       [](const auto& record) { return record.second.inherited; });
+}
+
 void ownership::exchange_tables(const agent_state& agent, table_version known, time_point now,
                                 ownership_actions& actions) {
     if (known < table_.version || (agent.recovering && !agent.acknowledged)) {
@@ -544,7 +583,7 @@
 // One entry proposes changes of the grantor set, and only on a version that a majority has confirmed, so that
 // older sets never matter to a later owner.
 std::optional<ownership::grantor_change> ownership::plan_grantors(time_point now) const {
-    if (leaving_ || !owns(0, now) || settled_version_ != table_.version)
+    if (leaving_ || !owns(0, now) || settled_version_ != table_.version || has_inherited_records())
         return std::nullopt;
     const std::size_t size = table_.grantors.size();
     const auto healthy = static_cast<std::size_t>(
@@ -557,9 +596,8 @@
         return grantor_change{*absent, false};
     // An even number tolerates no more failures than the odd number below it, so it is only a step.
     const std::size_t needed_spares = size % 2 == 0 ? 1 : 2;
-    // A new grantor recovers first. Until then the others have to be a majority, except that a single
-    // grantor could never get company otherwise.
-    const bool keeps_majority = healthy >= majority_of(size + 1) || size == 1;
+    // A spare has recovered already, so it grants at once.
+    const bool keeps_majority = healthy + 1 >= majority_of(size + 1);
     if (size < maximum_grantors && spares.size() >= needed_spares && keeps_majority)
         return grantor_change{spares.front(), true};
     return std::nullopt;
@@ -574,13 +612,13 @@
     return std::nullopt;
 }
 
-// A spare has to know the table without itself: it then recovers when it is named, and gets the records that
-// it missed.
+// A spare acknowledges the table without recovering, so that the set never grows by a grantor which cannot
+// grant yet and could not help another one to recover.
 std::vector<std::string> ownership::spare_agents(time_point now) const {
     std::vector<std::string> spares;
     for (const auto& [name, agent] : agents_) {
         const bool is_stable = agent.connected && now - agent.changed_at >= bootstrap_quiet_time;
-        if (is_stable && agent.known >= table_.version && !contains(table_.grantors, name))
+        if (is_stable && agent.acknowledged >= table_.version && !contains(table_.grantors, name))
             spares.push_back(name);
     }
     return spares;
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -96,6 +96,11 @@
         // It acknowledged the assurance that the store held no table with grantors.
         bool accepts_first_table = false;
         bool recorded = false;
+    };
+    // An agent that the grantors do not yet hold on record for certain, with the grantors that confirmed.
+    // Inherited ones were on record under an earlier table and may have ended since.
+    struct pending_record {
+        bool inherited = false;
         std::map<incarnation, record_confirmation> confirmations;
     };
     struct grantor_change {
@@ -118,7 +123,9 @@
     void renew_grants(time_point now, ownership_actions& actions);
     std::vector<incarnation> agents_to_record(bool refresh) const;
     void note_records(const grant_reply& reply, time_point sent, time_point now);
-    bool is_confirmed(const agent_state& agent) const;
+    bool is_confirmed(const pending_record& record) const;
+    void inherit_records(const takeover& completed);
+    bool has_inherited_records() const;
     void exchange_tables(const agent_state& agent, table_version known, time_point now,
                          ownership_actions& actions);
     void push_table(const agent_state& agent, ownership_actions& actions) const;
@@ -157,6 +164,7 @@
     table_version settled_version_ = 0;
 
     std::map<std::string, agent_state> agents_;
+    std::map<incarnation, pending_record> pending_records_;
     std::uint64_t sequence_ = 0;
     std::map<std::uint64_t, time_point> sent_at_;
     std::optional<time_point> renew_at_;
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -38,6 +38,8 @@
                    const std::vector<incarnation>& recorded);
     bool is_complete() const;
     std::vector<partition_gain> gains() const;
+    // Union of the records of the grantors that confirmed.
+    const std::set<incarnation>& recorded() const { return recorded_; }
 
     // Drops partitions that went to another owner or epoch.
     void keep_only(const std::map<partition_id, epoch_number>& current);
