--- a/daemon/fleet_holder.cpp
+++ b/daemon/fleet_holder.cpp
@@ -9,10 +9,10 @@
 
 std::shared_ptr<const fleet_view> fleet_holder::offer(const std::string& content) {
     auto decoded = decode_fleet_document(content);
-    if (const auto* problems = std::get_if<findings>(&decoded)) {
-        for (const finding& problem : *problems)
+    if (const auto* problems = std::get_if<config_findings>(&decoded)) {
+        for (const config_finding& problem : *problems)
             log_event(log_level::error, "configuration", "received document is not valid",
-                      {{"finding", to_text(problem)}});
+                      {{"finding", describe(problem)}});
         return nullptr;
     }
     auto view = std::make_shared<const fleet_view>(std::move(std::get<fleet_view>(decoded)));
--- a/standins/backend_announcer.cpp
+++ b/standins/backend_announcer.cpp
@@ -22,7 +22,7 @@
     return size * count;
 }
 
-std::string announcement_body(const announcement& contents, announced_state state) {
+std::string announcement_body(const backend_announcement& contents, announced_state state) {
     const nlohmann::json body{{"service", contents.service},
                               {"url", contents.url},
                               {"slots", contents.slots},
@@ -33,7 +33,7 @@
 
 } // namespace
 
-backend_announcer::backend_announcer(std::string agent_url, announcement contents)
+backend_announcer::backend_announcer(std::string agent_url, backend_announcement contents)
     : agent_url_(std::move(agent_url))
     , contents_(std::move(contents))
     , thread_([this] { run(); }) {}
--- a/standins/backend_announcer.h
+++ b/standins/backend_announcer.h
@@ -13,7 +13,7 @@
 enum class announced_state : std::uint8_t { serving, leaving, silent };
 
 // Contents of an announcement.
-struct announcement {
+struct backend_announcement {
     std::string service;
     std::string url;
     std::uint32_t slots = 0;
@@ -23,7 +23,7 @@
 // Announces a backend server to its agent from a thread of its own, every 500 ms and at each change of state.
 class backend_announcer {
 public:
-    backend_announcer(std::string agent_url, announcement contents);
+    backend_announcer(std::string agent_url, backend_announcement contents);
     ~backend_announcer();
     backend_announcer(const backend_announcer&) = delete;
     backend_announcer& operator=(const backend_announcer&) = delete;
@@ -41,7 +41,7 @@
     bool announce(announced_state state) const;
 
     const std::string agent_url_;
-    const announcement contents_;
+    const backend_announcement contents_;
     std::mutex lock_;
     std::condition_variable changed_;
     announced_state state_ = announced_state::serving;
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -151,8 +151,9 @@
             context_.run();
         }};
         if (!settings.agent_url.empty()) {
-            announcer_.emplace(settings.agent_url, announcement{settings.service, task_url(), settings.slots,
-                                                                settings.connections});
+            announcer_.emplace(
+                settings.agent_url,
+                backend_announcement{settings.service, task_url(), settings.slots, settings.connections});
         }
     }
 
