Report a watch that the store does not confirm as an outage

Cause: wait_for_change returned store_unchanged whenever a watch had been sent and timed out, so a store that accepts connections and never answers looked healthy and quiet. Found on review. Before: the caller could not tell a silent outage from a quiet key (not run on the old code). Conclusion: the backoff now also applies to watches during a silent outage.

--- a/tests/etcd_store_test.cpp
+++ b/tests/etcd_store_test.cpp
@@ -125,6 +125,9 @@
     etcd_store impatient{settings, clock_, seed};
     const swap_result silent = impatient.compare_and_swap("key", "b", 0);
     EXPECT_TRUE(std::get<store_unavailable>(silent).may_have_applied);
+    // A store that does not confirm the watch is down, although nothing changed either.
+    const wait_result wait = impatient.wait_for_change("key", 1, milliseconds{50});
+    EXPECT_TRUE(std::holds_alternative<store_unavailable>(wait));
     standin_.set_faults({.delay = milliseconds{200}});
     EXPECT_TRUE(std::holds_alternative<store_unavailable>(impatient.get("key")));
     standin_.set_faults({});
--- a/transport/curl_handle.cpp
+++ b/transport/curl_handle.cpp
@@ -28,6 +28,7 @@
     curl_easy_getinfo(state.easy, CURLINFO_RESPONSE_CODE, &status);
     // The consumer expects the body of a success only.
     if (*state.consume && status == status_ok) {
+        state.answer->consumed = true;
         if ((*state.consume)(chunk))
             return chunk.size();
         state.answer->ended_by_consumer = true;
--- a/transport/etcd_store.cpp
+++ b/transport/etcd_store.cpp
@@ -24,6 +24,12 @@
     return "HTTP status " + std::to_string(answer.status) + ": " + answer.body.substr(0, max_reported_body);
 }
 
+// Whether a watch was opened, which the store confirms with a first message, and then saw no change. Without
+// the confirmation the store is silent.
+bool is_quiet_watch(const http_answer& answer) {
+    return answer.timed_out && answer.consumed;
+}
+
 // A refusal with a 4xx status is final; without a status, or with 5xx, a write may be in progress.
 store_unavailable unavailable(const http_answer& answer, bool is_write) {
     const bool unclear = answer.status == 0 ? answer.sent : answer.status >= first_server_error;
@@ -109,9 +115,9 @@
     };
     const http_answer answer = post("/v3/watch", encode_watch_request(key, after + 1), timeout, consume);
     if (!reader.result()) {
-        // A watch that was opened and saw no change ends by its timeout. Its connection is closed with it,
-        // so that the next wait does not use a connection that went silent for good.
-        if (answer.timed_out && answer.sent)
+        // A watch that the store confirmed and that saw no change ends by its timeout. Its connection is
+        // closed with it, so that the next wait does not use a connection that went silent for good.
+        if (is_quiet_watch(answer))
             return store_unchanged{};
         return unavailable(answer, false);
     }
@@ -162,7 +168,7 @@
         }
         const std::size_t endpoint = (first + i) % settings_.endpoints.size();
         answer = post_to(settings_.endpoints[endpoint] + path, body, timeout, consume);
-        const bool watch_ended = consume && (answer.ended_by_consumer || (answer.timed_out && answer.sent));
+        const bool watch_ended = answer.ended_by_consumer || is_quiet_watch(answer);
         record(answer.status == status_ok || watch_ended);
         if (answer.sent) {
             // After an unclear outcome the next call starts with another endpoint.
--- a/transport/http_answer.h
+++ b/transport/http_answer.h
@@ -11,6 +11,8 @@
     std::string body;
     std::string error;
     bool sent = false;
+    // The consumer of the body received some of it.
+    bool consumed = false;
     // The consumer of the body ended the transfer because it had all it needed.
     bool ended_by_consumer = false;
     bool timed_out = false;
