Remove the override of ASIO_NO_DEPRECATED

Cause: the stand-in undefined the macro because RESTinio 0.6.16 does not compile with it. Checked: make check passes without the override. Conclusion: no file includes Asio with another setting than the rest.

--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -1,7 +1,3 @@
-// RESTinio 0.6.16 uses names of Asio that this macro of the build removes. It has to be off in every file
-// that includes Asio, because it changes return types of inline functions; this is the only such file so far.
-#undef ASIO_NO_DEPRECATED
-
 #include "standins/store_standin.h"
 
 #include "protocol/base64.h"
