--- a/coordination/key_value_store.h
+++ b/coordination/key_value_store.h
@@ -4,7 +4,10 @@
 #include "state/time.h"
 
 #include <concepts>
+#include <cstdint>
+#include <limits>
 #include <string>
+#include <utility>
 
 namespace persimmonstile {
 
@@ -46,6 +49,21 @@
     return result;
 }
 
+// Reads through a transaction whose comparison always fails. The store orders it with the writes, while a
+// plain get may be answered by a replica that is behind. It uses up a write of the store's rate.
+template <key_value_store Store> get_result get_ordered_with_writes(Store& store, const std::string& key) {
+    constexpr store_revision never = std::numeric_limits<std::int64_t>::max();
+    swap_result result = store.compare_and_swap(key, std::string{}, never);
+    if (auto* const lost = std::get_if<store_lost_race>(&result)) {
+        if (lost->current)
+            return *std::move(lost->current);
+        return store_missing{};
+    }
+    if (std::holds_alternative<store_written>(result))
+        return store_unavailable{"the store accepted a transaction whose comparison must fail", false};
+    return store_unavailable{std::get<store_unavailable>(result).detail, false};
+}
+
 // Keys of one cell.
 inline std::string owner_table_key(const std::string& cell) {
     return "persimmonstile/" + cell + "/owner_table";
