Describe the fleet configuration for operators

Cause: operators need the files, settings, commands, limits and an example in one page. Before: only the design page.

--- a/tests/fleet_check_test.cpp
+++ b/tests/fleet_check_test.cpp
@@ -212,16 +212,27 @@
     }
 }
 
+std::string read_from_root(const std::string& path) {
+    const std::string source = __FILE__;
+    std::stringstream text;
+    text << std::ifstream{source.substr(0, source.rfind("tests/")) + path}.rdbuf();
+    return text.str();
+}
+
 // Guards against editor schemas that differ from the ones that are enforced.
 TEST(fleet_check, schema_files_for_editors_are_up_to_date) {
-    const auto read = [](const std::string& path) {
-        std::stringstream text;
-        text << std::ifstream{path}.rdbuf();
-        return text.str();
-    };
-    const std::string directory = std::string{__FILE__}.substr(0, std::string{__FILE__}.rfind("tests/"));
-    EXPECT_EQ(read(directory + "docs/schemas/fleet.schema.json"), fleet_schema());
-    EXPECT_EQ(read(directory + "docs/schemas/exceptions.schema.json"), exceptions_schema());
+    EXPECT_EQ(read_from_root("docs/schemas/fleet.schema.json"), fleet_schema());
+    EXPECT_EQ(read_from_root("docs/schemas/exceptions.schema.json"), exceptions_schema());
+}
+
+// Guards against an example in the operators' page that the checker refuses.
+TEST(fleet_check, the_documented_example_has_no_findings) {
+    const std::string page = read_from_root("docs/configuration.md");
+    std::vector<std::string> blocks;
+    for (std::size_t at = page.find("```json"); at != std::string::npos; at = page.find("```json", at + 1))
+        blocks.push_back(page.substr(at + 7, page.find("```", at + 7) - at - 7));
+    ASSERT_EQ(blocks.size(), 2U);
+    EXPECT_EQ(only_finding(json::parse(blocks[0]), json::parse(blocks[1])), "");
 }
 
 } // namespace
