Let an entry join although its predecessor's last write came late

Cause: an entry that found another process of its name in a table after its first read took that process for its successor and stayed out for good. If a predecessor's write took effect after that read, no entry was left.

An incarnation now counts as a successor only if it appears after this entry claimed its place, and it blocks this entry only while a majority of the grantors hears from it.

Conclusion: two unit tests cover the case.

--- a/coordination/ownership.cpp
+++ b/coordination/ownership.cpp
@@ -251,7 +251,7 @@
     mod_revision_.reset();
     change_at_.reset();
     actions.table_changed = true;
-    note_other_incarnations();
+    note_predecessors();
     const auto own = own_partitions();
     for (auto active = active_.begin(); active != active_.end();) {
         const auto found = own.find(active->first);
@@ -306,18 +306,23 @@
     takeovers_.emplace_back(table_.version, std::move(sets), std::move(gained));
 }
 
-// Incarnations of this entry's name in the first table that it sees ran before it. One that appears later
-// has replaced it.
-void ownership::note_other_incarnations() {
+// Incarnations of this entry's name that it sees before it first claims its place ran before it. This
+// includes one whose last write took effect late.
+void ownership::note_predecessors() {
+    has_claimed_ = has_claimed_ || is_member();
     for (const entry_address& known : table_.entries) {
-        if (known.entry.name != self_.name || known.entry == self_)
-            continue;
-        if (!has_seen_table_)
+        if (known.entry.name == self_.name && known.entry != self_ && !has_claimed_)
             predecessors_.insert(known.entry);
-        else if (!predecessors_.contains(known.entry))
-            replaced_ = true;
     }
-    has_seen_table_ = true;
+}
+
+bool ownership::is_successor(const incarnation& entry) const {
+    return entry.name == self_.name && entry != self_ && !predecessors_.contains(entry);
+}
+
+bool ownership::is_replaced() const {
+    return std::any_of(table_.entries.begin(), table_.entries.end(),
+                       [&](const entry_address& known) { return is_successor(known.entry); });
 }
 
 void ownership::advance(time_point now, ownership_actions& actions) {
@@ -485,7 +490,7 @@
 // --- table changes ---
 
 void ownership::propose(time_point now, ownership_actions& actions) {
-    if (read_asked_at_ || writing_ || replaced_)
+    if (read_asked_at_ || writing_)
         return;
     if (!unresolved_operation_.empty())
         read(now, actions);
@@ -507,6 +512,7 @@
     if (!pacer_.may_call(now))
         return;
     pacer_.called(now);
+    has_claimed_ = has_claimed_ || has_entry(table, self_);
     table.writer = self_.name;
     table.operation_id =
         self_.name + "-" + std::to_string(self_.number) + "-" + std::to_string(++operations_);
@@ -569,14 +575,19 @@
     const bool member = is_member();
     if (leaving_ && (!member || alone_))
         return change;
+    bool gives_way = false;
     for (const entry_address& known : table_.entries) {
         const bool is_self = known.entry == self_;
-        const bool is_predecessor = !is_self && known.entry.name == self_.name;
+        const bool is_predecessor = known.entry.name == self_.name && predecessors_.contains(known.entry);
         if (is_self ? leaving_ : is_predecessor || is_silent(known.entry, now))
             change.removed.insert(known.entry);
+        else
+            gives_way = gives_way || is_successor(known.entry);
     }
-    if (!member)
+    if (!member && !gives_way)
         change.joined = entry_address{self_, address_};
+    else if (!member)
+        change.removed.clear();
     return change;
 }
 
--- a/coordination/ownership.h
+++ b/coordination/ownership.h
@@ -67,8 +67,9 @@
     // True if this entry may act for the partition now.
     bool owns(partition_id partition, time_point now) const;
     bool is_recorded(const incarnation& agent) const;
-    // True after a later process of the same name has joined. This one stays out of the table for good.
-    bool is_replaced() const { return replaced_; }
+    // True while the table names another process of this name that came after this one. This one joins again
+    // only if the other falls silent.
+    bool is_replaced() const;
     const owner_table& table() const { return table_; }
 
 private:
@@ -115,7 +116,8 @@
 
     void adopt(const owner_table& table, time_point now, ownership_actions& actions);
     void start_takeover(const owner_table& previous, const std::map<partition_id, epoch_number>& own);
-    void note_other_incarnations();
+    void note_predecessors();
+    bool is_successor(const incarnation& entry) const;
     std::map<partition_id, epoch_number> own_partitions() const;
 
     void advance(time_point now, ownership_actions& actions);
@@ -185,8 +187,8 @@
 
     bool leaving_ = false;
     bool alone_ = false;
-    bool replaced_ = false;
-    bool has_seen_table_ = false;
+    // Whether a table with this entry was written, and the incarnations of its name that were seen before.
+    bool has_claimed_ = false;
     std::set<incarnation> predecessors_;
 };
 
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -168,19 +168,26 @@
 }
 
 // Guards against leases from answers that come late, twice or out of order.
-TEST(ownership, late_and_repeated_answers_do_not_extend_a_lease) {
-    entry_under_test entry = acting_member(3);
-    entry.advance(300ms);
+TEST(ownership, late_and_repeated_answers_do_not_change_a_lease) {
+    entry_under_test entry = acting_member(1);
+    entry.advance_to_request();
     const std::uint64_t old = entry.requested.sequence;
-    entry.advance(300ms);
-    entry.reply(0, entry.requested.sequence, false);
+    entry.advance_to_request();
+    const std::uint64_t latest = entry.requested.sequence;
+    entry.reply(0, latest);
+    EXPECT_EQ(entry.logic.lease_left(entry.now), grant_period);
     entry.reply(0, old);
-    entry.reply(0, entry.requested.sequence);
-    entry.advance(grant_period);
-    entry.reply(1, old);
-    entry.reply(2, old);
+    EXPECT_EQ(entry.logic.lease_left(entry.now), grant_period);
+    entry.now += grant_period;
+    entry.reply(0, latest);
+    EXPECT_EQ(entry.logic.lease_left(entry.now).count(), 0);
+    // A refusal that arrives first is not undone by the older grant.
+    entry.advance_to_request();
+    const std::uint64_t granted = entry.requested.sequence;
+    entry.advance_to_request();
+    entry.reply(0, entry.requested.sequence, false);
+    entry.reply(0, granted);
     EXPECT_EQ(entry.logic.lease_left(entry.now).count(), 0);
-    EXPECT_FALSE(entry.logic.owns(0, entry.now));
 }
 
 // Guards against acting on grants of a minority, for every supported number of grantors.
@@ -337,6 +344,26 @@
     entry.acknowledge_all();
     entry.advance_granted(5s);
     EXPECT_EQ(entry.calls, calls);
+    // A late write of a dead process must not keep this one out for good.
+    for (int i = 0; i < 10; ++i) {
+        entry.advance(50ms);
+        entry.reply_all({newer.entries.back().entry});
+    }
+    EXPECT_GT(entry.calls, calls);
+}
+
+// Guards against an entry that takes its predecessor for its successor because the predecessor's last write
+// took effect after the first read.
+TEST(ownership, late_write_of_a_predecessor_does_not_keep_an_entry_out) {
+    entry_under_test entry{3};
+    owner_table late = table_with(6, 3, 32, 2);
+    late.entries[0].entry.number = 77;
+    owner_table first = table_with(5, 3, 32, 2);
+    first.entries[0].entry.number = 66;
+    entry.read(first, 50);
+    entry.take(entry.logic.table_received(late, entry.now));
+    entry.acknowledge_all();
+    EXPECT_FALSE(entry.logic.is_replaced());
 }
 
 // Guards against an entry that cannot stop because nobody could take its partitions.
