Test the load client's timing, repetitions and bounded end

Cause: no test failed if response times counted from the real send time, if 202 ended a call, or if a silent entry kept the run from ending. Before: only sending while answers are outstanding was tested. Conclusion: coordinated omission and unbounded runs are guarded against.

--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -7,6 +7,7 @@
 #include "cli/load_workload.h"
 #include "tests/scripted_http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -243,6 +244,59 @@
     }
 }
 
+// Guards against response times that count from the real send time: the second call has to wait for the only
+// connection while the first one is held, and that wait belongs to its response time.
+TEST(load_client, the_wait_for_a_connection_is_part_of_the_response_time) {
+    const auto load = std::get<workload>(parse_workload(workload_text));
+    const std::vector<planned_call> calls(2, call_at({}, {milliseconds{10}}));
+    const scripted_http_server entry{[&](const scripted_request& request) {
+        std::promise<void> never;
+        never.get_future().wait_for(milliseconds{100});
+        return answer_call(request, false);
+    }};
+    load_client_settings settings;
+    settings.entries = {entry.url()};
+    settings.connections = 1;
+    const auto results = run_calls(load, calls, settings);
+    EXPECT_GE(std::max(results[0].response, results[1].response), milliseconds{200});
+}
+
+// Guards against a call that counts as ended while its job still runs, and against a repetition that is
+// another job.
+TEST(load_client, repeats_a_call_that_has_not_ended) {
+    const auto load = std::get<workload>(parse_workload(workload_text));
+    std::vector<scripted_request> requests;
+    const scripted_http_server entry{[&](const scripted_request& request) {
+        requests.push_back(request);
+        return requests.size() < 3 ? scripted_answer{202, "", "{}"} : answer_call(request, false);
+    }};
+    load_client_settings settings;
+    settings.entries = {entry.url()};
+    const auto results = run_calls(load, {call_at({}, {milliseconds{10}})}, settings);
+    EXPECT_EQ(results[0].end, call_end::complete) << results[0].detail;
+    ASSERT_EQ(requests.size(), 3U);
+    EXPECT_EQ(requests[2].target, requests[0].target);
+    EXPECT_EQ(requests[2].body, requests[0].body);
+}
+
+// Guards against a run that never ends because an entry does not answer.
+TEST(load_client, ends_without_the_answers_of_a_silent_entry) {
+    const auto load = std::get<workload>(parse_workload(workload_text));
+    std::promise<void> end;
+    const std::shared_future<void> ended = end.get_future().share();
+    const scripted_http_server entry{[&](const scripted_request& request) {
+        ended.wait();
+        return answer_call(request, false);
+    }};
+    load_client_settings settings;
+    settings.entries = {entry.url()};
+    settings.drain = std::chrono::seconds{1};
+    const auto results = run_calls(load, {call_at({}, {milliseconds{10}})}, settings);
+    end.set_value();
+    EXPECT_EQ(results[0].end, call_end::no_answer);
+    EXPECT_EQ(results[0].detail, "not ended when the run ended");
+}
+
 // Guards against counters of several daemons or labels that are mixed up, and an absent one that is reported
 // as 0.
 TEST(load_metrics, sums_a_counter_by_kind_and_tells_absence_from_zero) {
