Name the stand-in's announcement types after the backend

Cause: the daemon will have types for announcements of its own, and two types of one name in one namespace break the one definition rule silently. Before: announcement and announced_state. Conclusion: no change of behaviour.

--- a/cli/standin_backend_command.cpp
+++ b/cli/standin_backend_command.cpp
@@ -87,7 +87,7 @@
         , limit_(limit) {}
 
     void start() {
-        server_.set_announced_state(announced_state::leaving);
+        server_.set_announced_state(backend_announced_state::leaving);
         poll();
     }
 
--- a/standins/backend_announcer.cpp
+++ b/standins/backend_announcer.cpp
@@ -22,18 +22,18 @@
     return size * count;
 }
 
-std::string announcement_body(const announcement& contents, announced_state state) {
+std::string announcement_body(const backend_announcement& contents, backend_announced_state state) {
     const nlohmann::json body{{"service", contents.service},
                               {"url", contents.url},
                               {"slots", contents.slots},
                               {"connections", contents.connections},
-                              {"state", state == announced_state::leaving ? "leaving" : "serving"}};
+                              {"state", state == backend_announced_state::leaving ? "leaving" : "serving"}};
     return body.dump();
 }
 
 } // namespace
 
-backend_announcer::backend_announcer(std::string agent_url, announcement contents)
+backend_announcer::backend_announcer(std::string agent_url, backend_announcement contents)
     : agent_url_(std::move(agent_url))
     , contents_(std::move(contents))
     , thread_([this] { run(); }) {}
@@ -47,7 +47,7 @@
     thread_.join();
 }
 
-void backend_announcer::set_state(announced_state state) {
+void backend_announcer::set_state(backend_announced_state state) {
     {
         const std::lock_guard guard{lock_};
         state_ = state;
@@ -68,9 +68,9 @@
 void backend_announcer::run() {
     std::unique_lock guard{lock_};
     while (!stopped_) {
-        const announced_state state = state_;
+        const backend_announced_state state = state_;
         pending_ = false;
-        if (state != announced_state::silent) {
+        if (state != backend_announced_state::silent) {
             guard.unlock();
             const bool accepted = announce(state);
             guard.lock();
@@ -83,7 +83,7 @@
     }
 }
 
-bool backend_announcer::announce(announced_state state) const {
+bool backend_announcer::announce(backend_announced_state state) const {
     const std::string url = agent_url_ + "/v1/announce";
     const std::string body = announcement_body(contents_, state);
     const curl_handle handle{curl_easy_init(), &curl_easy_cleanup};
--- a/standins/backend_announcer.h
+++ b/standins/backend_announcer.h
@@ -10,10 +10,10 @@
 namespace persimmonstile {
 
 // What an announcement says about the backend server. silent sends nothing.
-enum class announced_state : std::uint8_t { serving, leaving, silent };
+enum class backend_announced_state : std::uint8_t { serving, leaving, silent };
 
 // Contents of an announcement.
-struct announcement {
+struct backend_announcement {
     std::string service;
     std::string url;
     std::uint32_t slots = 0;
@@ -23,12 +23,12 @@
 // Announces a backend server to its agent from a thread of its own, every 500 ms and at each change of state.
 class backend_announcer {
 public:
-    backend_announcer(std::string agent_url, announcement contents);
+    backend_announcer(std::string agent_url, backend_announcement contents);
     ~backend_announcer();
     backend_announcer(const backend_announcer&) = delete;
     backend_announcer& operator=(const backend_announcer&) = delete;
 
-    void set_state(announced_state state);
+    void set_state(backend_announced_state state);
 
     // Announcements that the agent answered with 2xx.
     std::uint64_t accepted() const;
@@ -38,13 +38,13 @@
 
 private:
     void run();
-    bool announce(announced_state state) const;
+    bool announce(backend_announced_state state) const;
 
     const std::string agent_url_;
-    const announcement contents_;
+    const backend_announcement contents_;
     std::mutex lock_;
     std::condition_variable changed_;
-    announced_state state_ = announced_state::serving;
+    backend_announced_state state_ = backend_announced_state::serving;
     bool pending_ = true;
     bool stopped_ = false;
     std::atomic<std::uint64_t> accepted_{0};
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -119,15 +119,15 @@
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::optional<announced_state> parse_announced_state(const std::string& name) {
+std::optional<backend_announced_state> parse_announced_state(const std::string& name) {
     if (name == "serving") {
-        return announced_state::serving;
+        return backend_announced_state::serving;
     }
     if (name == "leaving") {
-        return announced_state::leaving;
+        return backend_announced_state::leaving;
     }
     if (name == "silent") {
-        return announced_state::silent;
+        return backend_announced_state::silent;
     }
     return std::nullopt;
 }
@@ -151,8 +151,9 @@
             context_.run();
         }};
         if (!settings.agent_url.empty()) {
-            announcer_.emplace(settings.agent_url, announcement{settings.service, task_url(), settings.slots,
-                                                                settings.connections});
+            announcer_.emplace(
+                settings.agent_url,
+                backend_announcement{settings.service, task_url(), settings.slots, settings.connections});
         }
     }
 
@@ -179,7 +180,7 @@
         fault_is_limited_ = count > 0;
     }
 
-    void set_announced_state(announced_state state) {
+    void set_announced_state(backend_announced_state state) {
         if (announcer_) {
             announcer_->set_state(state);
         }
@@ -513,7 +514,7 @@
     server_->set_fault(fault, count);
 }
 
-void backend_standin::set_announced_state(announced_state state) {
+void backend_standin::set_announced_state(backend_announced_state state) {
     server_->set_announced_state(state);
 }
 
--- a/standins/backend_standin.h
+++ b/standins/backend_standin.h
@@ -37,7 +37,7 @@
 
     // count limits the fault to that many tasks; 0 means until the next call.
     void set_fault(backend_fault fault, std::uint64_t count = 0);
-    void set_announced_state(announced_state state);
+    void set_announced_state(backend_announced_state state);
 
     // True once the agent accepted an announcement with the state that was set last.
     bool is_announcement_accepted() const;
