--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -44,7 +44,7 @@
     dispatch_waiting();
 }
 
-void job_engine::perform(const job_actions& actions) {
+void job_engine::perform(const job_actions& actions, const task_reports* reports) {
     metrics_.wasted_messages.add(message_kind::task_reports, actions.stray_reports);
     for (const task_send& send : actions.sends) {
         metrics_.messages.add(kind_of(send.message));
@@ -58,18 +58,26 @@
         on_answer_(answer);
     for (const job_id& job : actions.dropped)
         end_span({job, false, failure_reason::not_run, {}, 0});
-    if (!actions.withdrawn.empty() || !actions.returned.empty()) {
-        const time_point now = clock_.now();
-        const std::lock_guard lock{scheduler_mutex_};
-        for (const job_id& job : actions.withdrawn)
-            scheduler_.withdraw(job);
-        for (const returned_task& task : actions.returned)
-            scheduler_.task_returned(task.agent, task.job, task.report, now);
-    }
+    update_scheduler(actions, reports);
     for (const queue_request& request : actions.queue)
         queue(request);
 }
 
+// The scheduler learns first what came back, then the load that was reported with it, because that load does
+// not contain the returned tasks any more.
+void job_engine::update_scheduler(const job_actions& actions, const task_reports* reports) {
+    if (actions.withdrawn.empty() && actions.returned.empty() && reports == nullptr)
+        return;
+    const time_point now = clock_.now();
+    const std::lock_guard lock{scheduler_mutex_};
+    for (const job_id& job : actions.withdrawn)
+        scheduler_.withdraw(job);
+    for (const returned_task& task : actions.returned)
+        scheduler_.task_returned(task.agent, task.job, task.report, now);
+    if (reports != nullptr)
+        scheduler_.load_reported(reports->agent, reports->service, reports->load, now);
+}
+
 void job_engine::queue(const queue_request& request) {
     std::optional<job_failed> refusal;
     {
@@ -170,11 +178,8 @@
 }
 
 void job_engine::reported(const task_reports& reports) {
-    {
-        const std::lock_guard lock{scheduler_mutex_};
-        scheduler_.load_reported(reports.agent, reports.service, reports.load, clock_.now());
-    }
-    apply(shard_of(reports.job), reports);
+    perform(decide(shard_of(reports.job), reports), &reports);
+    dispatch_waiting();
 }
 
 void job_engine::query_answered(const job_report& report) {
@@ -195,11 +200,14 @@
 
 void job_engine::agent_disconnected(const incarnation& agent) {
     const std::lock_guard lock{scheduler_mutex_};
-    scheduler_.agent_gone(agent, clock_.now());
+    scheduler_.agent_disconnected(agent, clock_.now());
 }
 
 void job_engine::agent_gone(const incarnation& agent) {
-    agent_disconnected(agent);
+    {
+        const std::lock_guard lock{scheduler_mutex_};
+        scheduler_.agent_gone(agent, clock_.now());
+    }
     for (const auto& entry : shards_)
         apply(*entry, agent_presence{agent, true, revision()});
 }
@@ -211,7 +219,7 @@
     }
     {
         const std::lock_guard lock{scheduler_mutex_};
-        scheduler_.set_fleet(std::move(fleet));
+        scheduler_.set_fleet(std::move(fleet), clock_.now());
     }
     dispatch_waiting();
 }
--- a/daemon/job_engine.h
+++ b/daemon/job_engine.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -67,7 +68,8 @@
     shard& shard_of(const job_id& job) { return *shards_[partition_of(job) % shard_count]; }
     template <typename Event> job_actions decide(shard& target, const Event& event);
     template <typename Event> void apply(shard& target, const Event& event);
-    void perform(const job_actions& actions);
+    void perform(const job_actions& actions, const task_reports* reports = nullptr);
+    void update_scheduler(const job_actions& actions, const task_reports* reports);
     void queue(const queue_request& request);
     void dispatch_waiting();
     config_revision revision() const;
@@ -84,7 +86,7 @@
     ended_handler on_ended_;
     std::array<std::unique_ptr<shard>, shard_count> shards_;
     mutable std::mutex scheduler_mutex_;
-    scheduler scheduler_;
+    scheduler scheduler_{std::random_device{}()};
     mutable std::mutex fleet_mutex_;
     std::shared_ptr<const fleet_view> fleet_;
     std::atomic<time_point::rep> lease_until_{0};
