Resume jobs that were given up when capacity returns

Cause: a job whose waiting tasks could not end in time at the present rate was never looked at again. With no agent connected for a moment the rate is zero, so every job that was selected then waited until its deadline. A job admitted under the id of a withdrawn one with a lost task was accepted and not queued.

Such a job is judged again after 1 s, and not at all while no backend server is available. The record of a withdrawn job is set up anew.

--- a/coordination/scheduler.cpp
+++ b/coordination/scheduler.cpp
@@ -36,6 +36,7 @@
 
 // A job is given up early only if it clearly needs more than the time left, because the rate is an estimate.
 constexpr double hopeless_margin = 0.8;
+constexpr std::chrono::seconds parking_time{1};
 
 // Samples of a task class before deadlines are judged by its mean run time.
 constexpr std::uint32_t samples_to_judge = 8;
@@ -118,10 +119,12 @@
         return refused;
     if (auto refused = check_capacity(spec, deadline, now))
         return refused;
-    scheduler_job& record = job_record(job, spec, deadline, now);
-    // Already queued; the job table filters resubmissions.
-    if (record.end > 0)
+    // The job table filters resubmissions. A withdrawn job stays known while a task of it is assigned.
+    const auto known = job_numbers_.find(job);
+    if (known != job_numbers_.end() && !jobs_[known->second].withdrawn)
         return std::nullopt;
+    scheduler_job& record = job_record(job, spec, deadline, now);
+    record.next = 0;
     // Smaller jobs may pass this one only while it can still meet its deadline.
     const double needed = wait_without_passing(load_for(spec), spec.tasks.size());
     const double latest_start = seconds_between(time_point{}, deadline) - needed;
@@ -230,6 +233,16 @@
     enqueue(job_numbers_.at(job));
 }
 
+// Queues jobs again that were given up some time ago; capacity may have returned.
+template <placement_policy policy> void basic_scheduler<policy>::release_parked(time_point now) {
+    while (!parked_jobs_.empty() && parked_jobs_.front().second <= now) {
+        const auto found = job_numbers_.find(parked_jobs_.front().first);
+        if (found != job_numbers_.end())
+            enqueue(found->second);
+        parked_jobs_.pop_front();
+    }
+}
+
 // Queues held tasks as far as the retry budget allows.
 template <placement_policy policy> void basic_scheduler<policy>::release_held(time_point now) {
     while (!held_jobs_.empty()) {
@@ -466,6 +479,7 @@
 template <placement_policy policy>
 std::vector<assignment> basic_scheduler<policy>::take_assignments(time_point now) {
     release_held(now);
+    release_parked(now);
     run_wakeups(now);
     pending_assignments result;
     for (std::uint32_t service = 0; service < services_.size(); ++service) {
@@ -480,14 +494,17 @@
                                              time_point now) {
     service_state& state = services_[service];
     while (const std::optional<fair_queue::selection> selected = state.queue.next()) {
+        const std::optional<std::uint32_t> backend = state.placement.choose(random_);
+        if (!backend)
+            return;
+        const scheduler_job& job = jobs_[selected->job];
         // The job table ends a job whose deadline has passed; until then its tasks are passed over.
-        if (jobs_[selected->job].deadline <= now || is_hopeless(state, jobs_[selected->job], now)) {
+        if (job.deadline <= now || is_hopeless(state, job, now)) {
+            if (job.deadline > now)
+                parked_jobs_.emplace_back(*job.id, now + parking_time);
             dequeue(selected->job);
             continue;
         }
-        const std::optional<std::uint32_t> backend = state.placement.choose(random_);
-        if (!backend)
-            return;
         assign(service, *backend, *selected, result, now);
     }
 }
@@ -538,6 +555,8 @@
     std::optional<time_point> next;
     if (!wakeups_.empty())
         next = wakeups_.top().time;
+    if (!parked_jobs_.empty())
+        next = std::min(next.value_or(time_point::max()), parked_jobs_.front().second);
     if (!held_jobs_.empty())
         next = std::min(next.value_or(time_point::max()), retry_budget_.next_available());
     return next;
@@ -572,40 +591,48 @@
     team.max_running = bound == 0 ? 0 : std::max<std::uint32_t>(bound / entries_, 1);
 }
 
+// The record of the job, created if it is not known. That of a withdrawn job is used again.
 template <placement_policy policy>
 scheduler_job& basic_scheduler<policy>::job_record(const job_id& job, const job_spec& spec,
                                                    time_point deadline, time_point now) {
     const auto [found, added] = job_numbers_.try_emplace(job, 0);
-    if (!added) {
-        jobs_[found->second].withdrawn = false;
-        return jobs_[found->second];
-    }
+    if (added)
+        found->second = add_job(found->first, spec);
+    scheduler_job& record = jobs_[found->second];
+    if (!added && !record.withdrawn)
+        return record;
+    record.withdrawn = false;
+    record.deadline = deadline;
+    const double rate = std::max(true_rate(services_[record.service]), 1.0);
+    const double alone = static_cast<double>(spec.tasks.size()) / rate;
+    record.order = seconds_between(time_point{}, now) + size_penalty * alone;
+    return record;
+}
+
+template <placement_policy policy>
+std::uint32_t basic_scheduler<policy>::add_job(const job_id& job, const job_spec& spec) {
     if (free_jobs_.empty()) {
         free_jobs_.push_back(static_cast<std::uint32_t>(jobs_.size()));
         jobs_.emplace_back();
     }
-    found->second = free_jobs_.back();
+    const std::uint32_t number = free_jobs_.back();
     free_jobs_.pop_back();
-    scheduler_job& record = jobs_[found->second];
+    scheduler_job& record = jobs_[number];
     record = scheduler_job{};
-    record.id = &found->first;
+    record.id = &job;
     record.service = service_number(spec.service);
     record.team = team_number(spec.team);
     record.is_request = spec.is_request();
     record.size_class =
         static_cast<std::uint8_t>(fair_queue::size_class(record.is_request, spec.tasks.size()));
     record.task_class = task_class(services_[record.service], spec.method);
-    record.deadline = deadline;
-    const service_state& service = services_[record.service];
-    const double alone = static_cast<double>(spec.tasks.size()) / std::max(true_rate(service), 1.0);
-    record.order = seconds_between(time_point{}, now) + size_penalty * alone;
     scheduler_team& team = teams_[record.team];
     if (std::find(team.services.begin(), team.services.end(), record.service) == team.services.end()) {
         team.services.push_back(record.service);
         services_[record.service].queue.set_share(record.team, team.share);
         services_[record.service].queue.set_blocked(record.team, team.is_blocked());
     }
-    return record;
+    return number;
 }
 
 // Number of the task class of a method, which is created if there is room for it.
--- a/coordination/scheduler.h
+++ b/coordination/scheduler.h
@@ -27,6 +27,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace persimmonstile {
@@ -113,11 +114,14 @@
     std::optional<job_failed> check_capacity(const job_spec& spec, time_point deadline, time_point now);
 
     scheduler_job& job_record(const job_id& job, const job_spec& spec, time_point deadline, time_point now);
+    // job must be the key of the job's entry in job_numbers_.
+    std::uint32_t add_job(const job_id& job, const job_spec& spec);
     void change_waiting(const scheduler_job& record, std::int64_t difference);
     void enqueue(std::uint32_t number);
     void dequeue(std::uint32_t number);
     void release_if_done(std::uint32_t number);
     void release_held(time_point now);
+    void release_parked(time_point now);
 
     void set_team_running(std::uint32_t team, std::uint32_t running);
     std::optional<std::uint32_t> backend_of(const scheduler_agent& agent, std::uint32_t service) const;
@@ -168,6 +172,8 @@
     std::priority_queue<wakeup, std::vector<wakeup>, std::greater<>> wakeups_;
     std::size_t waiting_count_ = 0;
     admission_retry_budget retry_budget_;
+    // Jobs that cannot end in time at the present rate, with the time at which this is judged again.
+    std::deque<std::pair<job_id, time_point>> parked_jobs_;
     // Jobs with held tasks, oldest first.
     std::deque<job_id> held_jobs_;
 };
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -358,6 +358,33 @@
     EXPECT_EQ(target.waiting_tasks(), 0U);
 }
 
+// Guards against jobs that are given up because capacity was missing for a moment.
+TEST_F(deadline_test, resumes_jobs_when_capacity_returns) {
+    connect(2, 32);
+    ASSERT_FALSE(admit("job", job_of(100), 20s));
+    target.agent_disconnected(agent(1), now);
+    target.agent_disconnected(agent(2), now);
+    EXPECT_TRUE(target.take_assignments(now).empty());
+    connect(1, 8);
+    now += 11s;
+    // 8 slots cannot complete 100 tasks of 1 s in the 9 s that are left, 40 slots can.
+    EXPECT_TRUE(target.take_assignments(now).empty());
+    connect(2, 32);
+    ASSERT_TRUE(target.next_wakeup());
+    now = std::max(now, *target.next_wakeup());
+    EXPECT_GE(count(target.take_assignments(now)), 16U);
+}
+
+// Guards against a job that is never queued because an earlier one under its id still has a lost task.
+TEST_F(scheduler_test, admits_the_id_of_a_withdrawn_job_again) {
+    connect(1, 8);
+    admit("job", job_of(2));
+    ASSERT_EQ(count(target.take_assignments(now)), 2U);
+    target.withdraw("job");
+    ASSERT_FALSE(admit("job", job_of(2)));
+    EXPECT_EQ(count(target.take_assignments(now)), 2U);
+}
+
 // Guards against a quota that every entry grants in full.
 TEST_F(scheduler_test, each_entry_enforces_its_part_of_a_quota) {
     fleet.teams["a"].max_running = 6;
