Test ownership in random histories with faults

The world runs entries, grantors and a store double on one simulated clock, with pauses, restarts, cut links, lost, delayed, repeated and reordered messages, and a store that is down or loses answers, and checks the invariants after every event. Entries that removed a live owner, called the store too often or missed an agent record fail it as well.

--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -151,6 +151,23 @@
     EXPECT_EQ(entry.written->table.partitions.at(63).epoch, 1U);
 }
 
+// Guards against a cell that cannot start again after operators gave up its grantors, and against epochs that
+// start again at 1.
+TEST(ownership, table_without_grantors_is_followed_by_a_new_set) {
+    entry_under_test entry{3};
+    owner_table given_up = table_with(9, 0, 32, 4);
+    given_up.entries.clear();
+    entry.read(given_up, 70);
+    for (std::size_t i = 0; i < 3; ++i)
+        entry.take(entry.logic.table_acknowledged({entry.agent(i), 9, true, {}}, entry.now));
+    entry.advance(1900ms);
+    ASSERT_TRUE(entry.written);
+    EXPECT_EQ(entry.written->expected_mod, 70);
+    EXPECT_EQ(entry.written->table.version, 10U);
+    EXPECT_EQ(entry.written->table.grantors, grantor_names(3));
+    EXPECT_EQ(entry.written->table.partitions.at(0), (partition_owner{self, 5}));
+}
+
 // Guards against a lease that outlives what its grantor promised.
 TEST(ownership, lease_counts_from_the_sending_time_of_its_request) {
     entry_under_test entry = acting_member(3);
--- /dev/null
+++ b/tests/ownership_world.h
@@ -0,0 +1,641 @@
+#pragma once
+
+#include "coordination/grant_set.h"
+#include "coordination/grantor.h"
+#include "coordination/ownership.h"
+#include "state/limits.h"
+
+#include <algorithm>
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+using std::chrono::nanoseconds;
+using namespace std::chrono_literals;
+
+enum class fault_kind : std::uint8_t {
+    pause_entry,
+    kill_entry,
+    leave_entry,
+    pause_agent,
+    restart_agent,
+    cut_to_agent,
+    cut_to_entry,
+    isolate_entry,
+    store_down,
+    store_loses_answers,
+    noise,
+    count
+};
+
+struct fault {
+    nanoseconds at{};
+    fault_kind kind = fault_kind::noise;
+    std::size_t entry = 0;
+    std::size_t agent = 0;
+    nanoseconds duration{};
+};
+
+inline std::ostream& operator<<(std::ostream& out, const fault& f) {
+    static constexpr std::array names{"pause_entry",   "kill_entry",          "leave_entry",  "pause_agent",
+                                      "restart_agent", "cut_to_agent",        "cut_to_entry", "isolate_entry",
+                                      "store_down",    "store_loses_answers", "noise"};
+    return out << f.at / 1ms << " ms: " << names[static_cast<std::size_t>(f.kind)] << " entry " << f.entry
+               << " agent " << f.agent << " for " << f.duration / 1ms << " ms\n";
+}
+
+struct world_options {
+    std::size_t entries = 3;
+    std::size_t agents = 3;
+    // Agents that the test adds later.
+    std::size_t spare_agents = 0;
+    std::size_t minimum_grantors = 3;
+    // Largest deviation of a process's clock rate from 1.
+    double clock_rate_spread = 0.02;
+    // Delays one message in twenty by up to 300 ms at all times.
+    bool slow_messages = true;
+    // Permits restarts that leave no majority of grantors with their memory. Ownership may then stop.
+    bool may_lose_grantors = false;
+};
+
+// Entries, agents and a store double on one simulated clock. Checks the invariants after every event and
+// keeps the first violation.
+class ownership_world {
+public:
+    template <typename Logic> struct process {
+        incarnation id;
+        std::unique_ptr<Logic> logic;
+        double rate = 1;
+        bool paused = false;
+        std::deque<std::function<void()>> backlog;
+    };
+    struct entry_process : process<ownership> {
+        std::bitset<partition_count> active;
+        bool active_known = false;
+        table_version version = 0;
+        std::vector<nanoseconds> calls;
+        std::optional<nanoseconds> failed_call;
+        bool leaving = false;
+    };
+    using agent_process = process<grantor>;
+    struct traffic {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+
+    ownership_world(const world_options& options, std::uint64_t seed)
+        : options_{options}
+        , random_{seed}
+        , entries_(options.entries)
+        , agents_(options.agents + options.spare_agents)
+        , links_(options.entries * agents_.size()) {
+        add_agents(options.agents);
+        for (std::size_t i = 0; i < entries_.size(); ++i)
+            schedule(nanoseconds{random_() % 300'000'000}, [this, i] { start_entry(i); });
+        every(100ms, [this] { check_links(); });
+        every(50ms, [this] { tick_all(); });
+    }
+
+    void run_for(nanoseconds duration) {
+        run_until(now_ + duration, [] { return false; });
+    }
+
+    // Stops early when the condition holds; returns whether it did.
+    template <typename Condition> bool run_until(nanoseconds end, Condition&& condition) {
+        while (!events_.empty() && events_.top().at <= end && !violation_) {
+            auto event = std::move(const_cast<scheduled&>(events_.top()));
+            events_.pop();
+            now_ = event.at;
+            event.action();
+            check_owners();
+            if (condition())
+                return true;
+        }
+        now_ = std::max(now_, end);
+        return false;
+    }
+
+    void start_entry(std::size_t i) {
+        entry_process& entry = entries_[i];
+        if (entry.logic)
+            return;
+        entry = {};
+        entry.id = {"entry" + std::to_string(i), ++numbers_};
+        entry.rate = random_rate();
+        entry.logic = std::make_unique<ownership>(entry.id, "address", options_.minimum_grantors);
+        for (std::size_t a = 0; a < agents_.size(); ++a)
+            link_of(i, a).connected.reset();
+    }
+    void kill_entry(std::size_t i) { entries_[i].logic.reset(); }
+    void start_agent(std::size_t i) {
+        agent_process& agent = agents_[i];
+        agent = {};
+        agent.id = {"agent" + std::to_string(i), ++numbers_};
+        agent.rate = random_rate();
+        agent.logic = std::make_unique<grantor>(agent.id, local_time(agent));
+    }
+    // Agents that connect later than the first ones.
+    void add_agents(std::size_t count) {
+        for (; count > 0; --count)
+            start_agent(present_agents_++);
+    }
+    void kill_agent(std::size_t i) { agents_[i].logic.reset(); }
+    void pause(auto& p) { p.paused = true; }
+    void resume(auto& p) {
+        p.paused = false;
+        for (auto backlog = std::exchange(p.backlog, {}); auto& action : backlog) {
+            action();
+            check_owners();
+        }
+    }
+    void leave_entry(std::size_t i) {
+        entry_process& entry = entries_[i];
+        if (!entry.logic || entry.paused)
+            return;
+        entry.leaving = true;
+        perform(i, entry.logic->leave(local_time(entry)));
+    }
+
+    // Cuts the entry off from all agents but one, in both directions, or with -1 ends that.
+    void isolate_entry(std::size_t e, std::size_t reachable_agent, int change) {
+        for (std::size_t a = 0; a < agents_.size(); ++a) {
+            if (a == reachable_agent)
+                continue;
+            link_of(e, a).cut_to_agent += change;
+            link_of(e, a).cut_to_entry += change;
+        }
+    }
+
+    void apply(const fault& f) {
+        entry_process& entry = entries_[f.entry];
+        agent_process& agent = agents_[f.agent];
+        link& one = link_of(f.entry, f.agent);
+        const auto later = [&](auto action) {
+            schedule(f.duration, std::move(action));
+        };
+        switch (f.kind) {
+        case fault_kind::pause_entry:
+            pause(entry);
+            return later([&] { resume(entry); });
+        case fault_kind::leave_entry:
+            leave_entry(f.entry);
+            return later([this, f] { kill_entry(f.entry), start_entry(f.entry); });
+        case fault_kind::kill_entry:
+            kill_entry(f.entry);
+            return later([this, f] { start_entry(f.entry); });
+        case fault_kind::pause_agent:
+            pause(agent);
+            return later([&] { resume(agent); });
+        case fault_kind::restart_agent:
+            if (!options_.may_lose_grantors && !others_remember(f.agent))
+                return;
+            kill_agent(f.agent);
+            return later([this, f] { agents_[f.agent].logic ? void() : start_agent(f.agent); });
+        case fault_kind::cut_to_agent:
+            ++one.cut_to_agent;
+            return later([&] { --one.cut_to_agent; });
+        case fault_kind::cut_to_entry:
+            ++one.cut_to_entry;
+            return later([&] { --one.cut_to_entry; });
+        case fault_kind::isolate_entry:
+            isolate_entry(f.entry, f.agent, 1);
+            return later([this, f] { isolate_entry(f.entry, f.agent, -1); });
+        case fault_kind::store_down:
+            ++store_down_;
+            return later([this] { --store_down_; });
+        case fault_kind::store_loses_answers:
+            ++store_loses_;
+            return later([this] { --store_loses_; });
+        case fault_kind::noise:
+        case fault_kind::count:
+            ++noise_;
+            return later([this] { --noise_; });
+        }
+    }
+
+    std::vector<fault> random_faults(nanoseconds end) {
+        std::vector<fault> faults(1 + random_() % 8);
+        for (fault& f : faults) {
+            f.at = nanoseconds{static_cast<std::int64_t>(random_() % end.count())};
+            f.kind = static_cast<fault_kind>(random_() % static_cast<unsigned>(fault_kind::count));
+            f.entry = random_() % entries_.size();
+            f.agent = random_() % agents_.size();
+            f.duration = std::min<nanoseconds>(nanoseconds{random_() % 6'000'000'000}, end - f.at);
+        }
+        std::sort(faults.begin(), faults.end(), [](auto& a, auto& b) { return a.at < b.at; });
+        for (const fault& f : faults)
+            schedule(f.at - now_, [this, f] { apply(f); });
+        return faults;
+    }
+
+    // Index of the entry that may act for the partition now.
+    std::optional<std::size_t> owner_of(partition_id partition) const {
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            const entry_process& entry = entries_[i];
+            if (entry.logic && !entry.paused && entry.logic->owns(partition, local_time(entry)))
+                return i;
+        }
+        return std::nullopt;
+    }
+    bool all_owned() const {
+        for (partition_id p = 0; p < partition_count; ++p) {
+            if (!owner_of(p))
+                return false;
+        }
+        return true;
+    }
+    bool run_until_owned(nanoseconds limit) {
+        return run_until(now_ + limit, [this] { return all_owned(); });
+    }
+
+    entry_process& entry(std::size_t i) { return entries_[i]; }
+    agent_process& agent(std::size_t i) { return agents_[i]; }
+    const std::optional<owner_table>& stored() const { return stored_; }
+    nanoseconds now() const { return now_; }
+    const std::optional<std::string>& violation() const { return violation_; }
+    template <typename Process> time_point local_time(const Process& p) const {
+        return time_point{1h + nanoseconds{static_cast<std::int64_t>(now_.count() * p.rate)}};
+    }
+    // Adds up messages with any agent, from now on. size gives the bytes of one message.
+    void count_traffic(traffic& total, std::function<std::size_t(const control_message&)> size) {
+        traffic_ = &total;
+        size_of_ = std::move(size);
+    }
+    void fail(const std::string& what) {
+        if (!violation_)
+            violation_ = "at " + std::to_string(now_ / 1ms) + " ms: " + what;
+    }
+
+private:
+    struct scheduled {
+        nanoseconds at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const scheduled& other) const {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+    struct link {
+        int cut_to_agent = 0;
+        int cut_to_entry = 0;
+        std::optional<incarnation> connected;
+        std::optional<nanoseconds> bad_since;
+    };
+
+    link& link_of(std::size_t entry, std::size_t agent) { return links_[entry * agents_.size() + agent]; }
+    // Mostly one of the extremes, because differences between them stress the fence most.
+    double random_rate() {
+        const double step = static_cast<double>(random_() % 3) - 1;
+        return 1 + step * options_.clock_rate_spread;
+    }
+    bool chance(unsigned percent) { return random_() % 100 < percent; }
+    nanoseconds random_time(nanoseconds least, nanoseconds most) {
+        return least + nanoseconds{static_cast<std::int64_t>(random_() % (most - least).count())};
+    }
+    void schedule(nanoseconds delay, std::function<void()> action) {
+        events_.push({now_ + delay, ++order_, std::move(action)});
+    }
+    void every(nanoseconds interval, std::function<void()> action) {
+        schedule(interval, [this, interval, action] {
+            action();
+            every(interval, action);
+        });
+    }
+
+    // Runs the action in the process after the delay, or after its pause, unless it was replaced.
+    template <typename Process> void post(Process& target, nanoseconds delay, std::function<void()> action) {
+        schedule(delay, [&target, id = target.id, action = std::move(action)]() mutable {
+            if (!target.logic || target.id != id)
+                return;
+            if (target.paused) {
+                target.backlog.push_back([&target, id, action = std::move(action)] {
+                    if (target.logic && target.id == id)
+                        action();
+                });
+                return;
+            }
+            action();
+        });
+    }
+    nanoseconds random_delay() {
+        if (noise_ > 0)
+            return random_time(1ms, 500ms);
+        return options_.slow_messages && chance(5) ? random_time(2ms, 300ms) : random_time(500us, 2ms);
+    }
+    template <typename Process> void transmit(Process& target, bool cut, std::function<void()> action) {
+        if (cut || (noise_ > 0 && chance(20)))
+            return;
+        const int copies = noise_ > 0 && chance(10) ? 2 : 1;
+        for (int i = 0; i < copies; ++i)
+            post(target, random_delay(), action);
+    }
+
+    void to_agent(std::size_t e, const incarnation& to, const control_message& message) {
+        const auto a = static_cast<std::size_t>(std::stoul(to.name.substr(5)));
+        if (agents_[a].id != to || link_of(e, a).connected != to)
+            return;
+        count(message);
+        transmit(agents_[a], link_of(e, a).cut_to_agent > 0,
+                 [this, e, a, message] { agent_receives(a, e, message); });
+    }
+    void to_entry(std::size_t a, std::size_t e, const control_message& message) {
+        if (!entries_[e].logic || link_of(e, a).connected != agents_[a].id)
+            return;
+        count(message);
+        transmit(entries_[e], link_of(e, a).cut_to_entry > 0,
+                 [this, e, a, message] { entry_receives(e, agents_[a].id, message); });
+    }
+    void count(const control_message& message) {
+        if (traffic_ == nullptr)
+            return;
+        ++traffic_->messages;
+        traffic_->bytes += size_of_(message);
+    }
+
+    void agent_receives(std::size_t a, std::size_t e, const control_message& message) {
+        grantor& logic = *agents_[a].logic;
+        const time_point now = local_time(agents_[a]);
+        const table_version before = logic.table().version;
+        if (const auto* request = std::get_if<grant_request>(&message)) {
+            const grant_reply reply = logic.request(*request, 0, now);
+            for (const incarnation& silent : reply.silent_owners)
+                silence_reported_at_[{agents_[a].id.name, silent}] = now_;
+            to_entry(a, e, reply);
+        } else if (const auto* push = std::get_if<table_push>(&message))
+            to_entry(a, e, logic.push(push->table, now));
+        else if (const auto* question = std::get_if<recovery_request>(&message)) {
+            if (const auto reply = logic.answer(*question))
+                to_entry(a, e, *reply);
+        } else if (const auto* answer = std::get_if<recovery_reply>(&message))
+            logic.recovered(*answer, now);
+        else if (const auto* wanted = std::get_if<content_request>(&message)) {
+            if (logic.table().version > wanted->known_version)
+                to_entry(a, e, table_push{logic.table()});
+        }
+        if (logic.table().version < before)
+            fail(agents_[a].id.name + " went back to an older table");
+    }
+
+    void entry_receives(std::size_t e, const incarnation& from, const control_message& message) {
+        ownership& logic = *entries_[e].logic;
+        const time_point now = local_time(entries_[e]);
+        if (const auto* granted = std::get_if<grant_reply>(&message)) {
+            perform(e, logic.grant_replied(*granted, now));
+            note_records(logic);
+        } else if (const auto* ack = std::get_if<table_ack>(&message))
+            perform(e, logic.table_acknowledged(*ack, now));
+        else if (const auto* push = std::get_if<table_push>(&message))
+            perform(e, logic.table_received(push->table, now));
+        else if (const auto* question = std::get_if<recovery_request>(&message)) {
+            for (agent_process& agent : agents_) {
+                if (agent.id != from)
+                    to_agent(e, agent.id, *question);
+            }
+        } else if (const auto* reply = std::get_if<recovery_reply>(&message)) {
+            if (reply->asker == entries_[e].id)
+                perform(e, logic.records_replied(*reply, now));
+            else if (reply->asker.name.starts_with("agent"))
+                to_agent(e, reply->asker, *reply);
+        }
+    }
+
+    void perform(std::size_t e, const ownership_actions& actions) {
+        entry_process& entry = entries_[e];
+        for (const control_send& send : actions.sends)
+            to_agent(e, send.to, send.message);
+        for (const partition_gain& gain : actions.gained)
+            check_gain(entry, gain);
+        if (!actions.gained.empty() || !actions.lost.empty() || actions.table_changed)
+            entry.active_known = false;
+        if (entry.logic->table().version < entry.version)
+            fail(entry.id.name + " went back to an older table");
+        entry.version = entry.logic->table().version;
+        if (actions.read_table || actions.write)
+            check_call(entry);
+        if (actions.write)
+            check_removals(entry, actions.write->table);
+        if (actions.read_table)
+            schedule(random_time(1ms, 5ms), [this, e, id = entry.id] { store_read(e, id); });
+        if (actions.write)
+            schedule(random_time(1ms, 5ms),
+                     [this, e, id = entry.id, write = *actions.write] { store_write(e, id, write); });
+    }
+
+    void store_read(std::size_t e, const incarnation& id) {
+        if (entries_[e].id != id)
+            return;
+        const bool lost = store_down_ > 0 || (store_loses_ > 0 && chance(50));
+        if (lost)
+            return answer(e, 500ms, [this, e](ownership& o, time_point now) {
+                entries_[e].failed_call = now_;
+                return o.table_unavailable(now);
+            });
+        answer(e, random_time(1ms, 5ms), [table = stored_, mod = mod_](ownership& o, time_point now) {
+            return o.table_read(table, table ? mod : 0, now);
+        });
+    }
+    void store_write(std::size_t e, const incarnation& id, const table_write& write) {
+        if (entries_[e].id != id)
+            return;
+        const auto respond = [this, e](nanoseconds delay, table_write_result result) {
+            answer(e, delay, [this, e, result](ownership& o, time_point now) {
+                if (result == table_write_result::unavailable)
+                    entries_[e].failed_call = now_;
+                return o.table_written(result, now);
+            });
+        };
+        if (store_down_ > 0)
+            return respond(500ms, table_write_result::unavailable);
+        if (store_loses_ > 0 && chance(50)) {
+            // The write takes effect now or after the writer gave up.
+            schedule(chance(50) ? 0ms : random_time(0ms, 3000ms), [this, write] { commit(write); });
+            return respond(500ms, table_write_result::unavailable);
+        }
+        const bool committed = commit(write);
+        respond(random_time(1ms, 5ms),
+                committed ? table_write_result::committed : table_write_result::lost_race);
+    }
+    void answer(std::size_t e, nanoseconds delay,
+                std::function<ownership_actions(ownership&, time_point)> event) {
+        post(entries_[e], delay, [this, e, event = std::move(event)] {
+            perform(e, event(*entries_[e].logic, local_time(entries_[e])));
+        });
+    }
+    bool commit(const table_write& write) {
+        if (write.expected_mod != (stored_ ? mod_ : 0))
+            return false;
+        check_successor(write.table);
+        stored_ = write.table;
+        ++mod_;
+        return true;
+    }
+
+    void check_successor(const owner_table& next) {
+        const table_version before = stored_ ? stored_->version : 0;
+        if (next.version != before + 1 || next.partitions.size() != partition_count)
+            fail("table " + std::to_string(next.version) + " written after " + std::to_string(before));
+        for (std::size_t p = 0; stored_ && p < partition_count; ++p) {
+            const partition_owner& old = stored_->partitions[p];
+            const epoch_number expected = old.epoch + (next.partitions[p].owner == old.owner ? 0 : 1);
+            if (next.partitions[p].epoch != expected)
+                fail("epoch of partition " + std::to_string(p) + " does not follow its owner");
+        }
+    }
+    // Only an entry that a majority of the grantors reported as silent within the last second may be removed
+    // by another one.
+    void check_removals(const entry_process& writer, const owner_table& next) {
+        const owner_table& base = writer.logic->table();
+        for (const entry_address& known : base.entries) {
+            if (known.entry.name == writer.id.name || has_entry(next, known.entry))
+                continue;
+            const bool reported = majority_satisfies(base.grantors, [&](const std::string& name) {
+                const auto found = silence_reported_at_.find({name, known.entry});
+                return found != silence_reported_at_.end() && now_ - found->second <= 1050ms;
+            });
+            if (!reported)
+                fail(writer.id.name + " removes " + known.entry.name + " without a majority of reports");
+        }
+    }
+    // Two calls may follow each other, but not within ten seconds after a failure.
+    void check_call(entry_process& entry) {
+        entry.calls.push_back(now_);
+        // The entry measures with its own clock.
+        const nanoseconds interval{static_cast<std::int64_t>(1e9 / (1 + options_.clock_rate_spread))};
+        const std::size_t n = entry.calls.size();
+        const bool strict = entry.failed_call && now_ - *entry.failed_call < 9800ms;
+        if (n >= 2 && strict && now_ - entry.calls[n - 2] < interval)
+            fail(entry.id.name + " called the store twice within a second after a failure");
+        if (n >= 3 && now_ - entry.calls[n - 3] < 2 * interval)
+            fail(entry.id.name + " called the store three times within two seconds");
+    }
+    // A new owner has to know every agent that was on record while another entry could still act.
+    void check_gain(const entry_process& entry, const partition_gain& gain) {
+        if (gain.first_epoch)
+            return;
+        for (const auto& [agent, recorded_at] : recorded_at_) {
+            const bool known =
+                std::find(gain.suspects.begin(), gain.suspects.end(), agent) != gain.suspects.end();
+            if (recorded_at <= held_at_[gain.partition] && !known)
+                fail(entry.id.name + " was not told of " + agent.name + " " + std::to_string(agent.number));
+        }
+    }
+    void note_records(const ownership& logic) {
+        for (const agent_process& agent : agents_) {
+            if (!recorded_at_.contains(agent.id) && logic.is_recorded(agent.id))
+                recorded_at_[agent.id] = now_;
+        }
+    }
+    void check_owners() {
+        std::bitset<partition_count> owned;
+        for (entry_process& entry : entries_) {
+            if (!entry.logic || entry.logic->lease_left(local_time(entry)).count() <= 0)
+                continue;
+            if (!entry.active_known) {
+                for (partition_id p = 0; p < partition_count; ++p)
+                    entry.active[p] = entry.logic->owns(p, local_time(entry));
+                entry.active_known = true;
+            }
+            if ((owned & entry.active).any())
+                fail(entry.id.name + " owns partitions that another entry owns");
+            owned |= entry.active;
+        }
+        for (partition_id p = 0; p < partition_count; ++p) {
+            if (owned[p])
+                held_at_[p] = now_;
+        }
+    }
+
+    void check_links() {
+        for (std::size_t e = 0; e < entries_.size(); ++e) {
+            for (std::size_t a = 0; a < agents_.size(); ++a)
+                check_link(e, a);
+        }
+    }
+    void check_link(std::size_t e, std::size_t a) {
+        entry_process& entry = entries_[e];
+        agent_process& agent = agents_[a];
+        link& l = link_of(e, a);
+        if (!entry.logic)
+            return;
+        const bool silent = l.cut_to_agent > 0 || l.cut_to_entry > 0 || entry.paused || agent.paused;
+        if (!silent)
+            l.bad_since.reset();
+        else if (!l.bad_since)
+            l.bad_since = now_;
+        const bool good = agent.logic && !silent;
+        const bool expired = l.bad_since && now_ - *l.bad_since >= connection_silence_limit;
+        if (l.connected && (!agent.logic || *l.connected != agent.id || expired)) {
+            answer(e, 0ns, [id = *l.connected](ownership& o, time_point now) {
+                return o.agent_disconnected(id, now);
+            });
+            l.connected.reset();
+        }
+        if (!l.connected && good) {
+            l.connected = agent.id;
+            answer(e, 0ns,
+                   [id = agent.id](ownership& o, time_point now) { return o.agent_connected(id, now); });
+        }
+    }
+    void tick_all() {
+        for (std::size_t e = 0; e < entries_.size(); ++e) {
+            entry_process& entry = entries_[e];
+            if (!entry.logic || entry.paused)
+                continue;
+            perform(e, entry.logic->tick(local_time(entry)));
+            if (entry.leaving && entry.logic->left())
+                kill_entry(e);
+        }
+        for (std::size_t a = 0; a < agents_.size(); ++a) {
+            agent_process& agent = agents_[a];
+            if (!agent.logic || agent.paused)
+                continue;
+            if (const auto question = agent.logic->recovery_due(local_time(agent))) {
+                for (std::size_t e = 0; e < entries_.size(); ++e)
+                    to_entry(a, e, *question);
+            }
+        }
+    }
+    bool others_remember(std::size_t excluded) const {
+        return stored_ && majority_satisfies(stored_->grantors, [&](const std::string& name) {
+                   const auto a = static_cast<std::size_t>(std::stoul(name.substr(5)));
+                   return a != excluded && agents_[a].logic && !agents_[a].logic->is_recovering();
+               });
+    }
+
+    world_options options_;
+    std::mt19937_64 random_;
+    std::vector<entry_process> entries_;
+    std::vector<agent_process> agents_;
+    std::vector<link> links_;
+    std::priority_queue<scheduled> events_;
+    nanoseconds now_{};
+    std::uint64_t order_ = 0;
+    std::uint64_t numbers_ = 0;
+    std::optional<owner_table> stored_;
+    std::int64_t mod_ = 0;
+    std::size_t present_agents_ = 0;
+    int store_down_ = 0;
+    int store_loses_ = 0;
+    int noise_ = 0;
+    std::map<incarnation, nanoseconds> recorded_at_;
+    std::array<nanoseconds, partition_count> held_at_{};
+    std::map<std::pair<std::string, incarnation>, nanoseconds> silence_reported_at_;
+    traffic* traffic_ = nullptr;
+    std::function<std::size_t(const control_message&)> size_of_;
+    std::optional<std::string> violation_;
+};
+
+} // namespace persimmonstile
