Let the grantor set grow only while a majority is healthy without the spare

Cause: with one of three grantors down, a spare was named as the fourth and restarted at the same moment. Two of four had then lost their memory, so none could recover and the cell stopped.

Conclusion: a single grantor stays an exception, which docs/ownership.md names.

--- a/coordination/ownership.cpp
+++ b/coordination/ownership.cpp
@@ -607,8 +607,9 @@
         return grantor_change{*absent, false};
     // An even number tolerates no more failures than the odd number below it, so it is only a step.
     const std::size_t needed_spares = size % 2 == 0 ? 1 : 2;
-    // A spare has recovered already, so it grants at once.
-    const bool keeps_majority = healthy + 1 >= majority_of(size + 1);
+    // The spare may restart before it learns that it is named, so the others have to be a majority without
+    // it. A single grantor could never get company under this rule.
+    const bool keeps_majority = healthy >= majority_of(size + 1) || size == 1;
     if (size < maximum_grantors && spares.size() >= needed_spares && keeps_majority)
         return grantor_change{spares.front(), true};
     return std::nullopt;
--- a/tests/ownership_world_test.cpp
+++ b/tests/ownership_world_test.cpp
@@ -206,6 +206,23 @@
     }
 }
 
+// Guards against a set that grows while a grantor is down: with four named and one down, a restart of the new
+// one stopped the cell for good.
+TEST(ownership_world, set_does_not_grow_while_a_grantor_is_down) {
+    world_options options;
+    options.entries = 1;
+    options.spare_agents = 2;
+    const auto world = calm_world(options, 7);
+    world->kill_agent(0);
+    world->add_agents(2);
+    world->run_for(20s);
+    EXPECT_EQ(world->stored()->grantors.size(), 3U);
+    world->start_agent(0);
+    world->run_for(20s);
+    EXPECT_EQ(world->stored()->grantors.size(), 5U);
+    EXPECT_EQ(world->violation(), std::nullopt);
+}
+
 // Guards against entries that hinder each other when they join together.
 TEST(ownership_world, entries_that_join_at_once_share_the_partitions) {
     for (const std::size_t agents : {1U, 3U, 5U, 11U}) {
