Send agents the configuration without its history

Cause: entries pushed the stored document with its history, 134 KB at 23,000 changes, to every agent, although only operators read the history. The scheduler's tests name the fields of a report now, since a field was added in front.

--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_daemon.h"
 
+#include "protocol/fleet_document.h"
 #include "protocol/task_codec.h"
 #include "state/limits.h"
 #include "transport/logging.h"
@@ -81,9 +82,8 @@
     , ownership_{self_, peer_address_, settings_.minimum_grantors} {
     desk_.attach(engine_);
     store_ = std::make_unique<store_worker>(
-        settings_.store_endpoints, settings_.cell, clock_, random_seed(), [this](const std::string& content) {
-            asio::post(control_, [this, content] { config_received(content); });
-        });
+        settings_.store_endpoints, settings_.cell, clock_, random_seed(),
+        [this](const std::string& content) { stored_config_received(content); });
     api_ = std::make_unique<entry_api>(clock_, desk_, metrics_, tracer_,
                                        entry_api::daemon_view{[this] { return status(); },
                                                               [this] {
@@ -331,6 +331,19 @@
               {{"version", table.version}, {"entries", table.entries.size()}, {"watching", watching}});
 }
 
+// Runs on the store's thread. Peers get the document without its history, which only operators read.
+void entry_daemon::stored_config_received(const std::string& content) {
+    const auto parsed = parse_fleet_document(content);
+    if (const auto* problems = std::get_if<config_findings>(&parsed)) {
+        for (const config_finding& problem : *problems)
+            log_event(log_level::error, component, "the stored configuration is not valid",
+                      {{"finding", describe(problem)}});
+        return;
+    }
+    const std::string shared = encode_for_daemons(std::get<fleet_document>(parsed));
+    asio::post(control_, [this, shared] { config_received(shared); });
+}
+
 void entry_daemon::config_received(const std::string& content) {
     const auto view = fleet_.offer(content);
     if (!view)
@@ -367,6 +380,12 @@
 
 void entry_daemon::write_gauges() {
     metrics_.waiting_tasks.set(static_cast<std::int64_t>(engine_.waiting_tasks()));
+    metrics_.connections.set(
+        static_cast<std::int64_t>(agents_.connected_agents().size() + entries_.connected().size()));
+    std::int64_t owned = 0;
+    for (partition_id p = 0; p < partition_count; ++p)
+        owned += ownership_.owns(p, clock_.now()) ? 1 : 0;
+    metrics_.partitions_owned.set(owned);
 }
 
 bool entry_daemon::in_force() const {
--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -64,6 +64,7 @@
                                 const std::shared_ptr<frame_connection>& connection);
     void perform(const ownership_actions& actions);
     void table_changed();
+    void stored_config_received(const std::string& content);
     void config_received(const std::string& content);
     void tick();
     void schedule_tick();
--- a/tests/scheduler_simulation.h
+++ b/tests/scheduler_simulation.h
@@ -167,7 +167,10 @@
     void receive(std::size_t number, std::size_t job, task_index index) {
         simulated_agent& agent = agents[number];
         ++agent.received;
-        task_report report{index, task_status::not_started, refusal::queue_full, "", 0, 0};
+        task_report report;
+        report.index = index;
+        report.status = task_status::not_started;
+        report.reason = refusal::queue_full;
         if (fleet.is_zone_out(agent.zone)) {
             report.reason = refusal::zone_out;
             send(number, job, report);
@@ -197,7 +200,11 @@
                 done.queued.pop_front();
                 next();
             }
-            send(number, job, {index, status, refusal::none, "", 0, run.count()});
+            task_report report;
+            report.index = index;
+            report.status = status;
+            report.run_us = run.count();
+            send(number, job, report);
         });
     }
 
