Send a single request's body as it is, with its method in a header

Ruled out: mixed-up answers; each carried its own Task-Id. Conclusion: the backend server gets the body, and Request-Method names the method.

--- a/coordination/agent_actions.h
+++ b/coordination/agent_actions.h
@@ -18,6 +18,8 @@
     task_index index = 0;
     std::string url;
     std::string body;
+    // Method of a single request; empty for a task of a job.
+    std::string method;
     std::string traceparent;
     // When the agent accepted the task.
     time_point accepted;
--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -134,6 +134,7 @@
     job_tasks& job = jobs_[message.job];
     job.owner = owner;
     job.service = message.service;
+    job.method = message.method;
     job.traceparent = message.traceparent;
     job.partition = message.partition;
     job.epoch = message.epoch;
@@ -346,6 +347,7 @@
     call.index = next.index;
     call.url = server.announced.url;
     call.body = std::move(record.body);
+    call.method = job.method;
     call.traceparent = job.traceparent;
     call.accepted = record.accepted;
     call.give_up = job.deadline + give_up_margin;
--- a/coordination/agent_tasks.h
+++ b/coordination/agent_tasks.h
@@ -71,6 +71,7 @@
     struct job_tasks {
         incarnation owner;
         std::string service;
+        std::string method;
         std::string traceparent;
         partition_id partition = 0;
         epoch_number epoch = 0;
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -341,6 +341,7 @@
     message.revision = revision;
     message.job = job;
     message.service = record.spec->service;
+    message.method = record.spec->method;
     message.traceparent = record.traceparent;
     message.remaining_ms = std::chrono::duration_cast<milliseconds>(record.deadline - now).count();
     message.tasks.reserve(tasks.size());
--- a/protocol/job_request.cpp
+++ b/protocol/job_request.cpp
@@ -1,5 +1,6 @@
 #include "protocol/job_request.h"
 
+#include "state/ids.h"
 #include "state/limits.h"
 
 #include <array>
@@ -136,16 +137,16 @@
     reader.allow_only({"service", "method", "body", "team", "deadline_ms"});
     spec.service = reader.text("service", true);
     spec.method = reader.text("method", true);
+    if (!spec.method.empty() && !is_valid_job_id(spec.method))
+        reader.add("/method", "1 to " + std::to_string(max_job_id_length) + " of A-Z a-z 0-9 . _ -",
+                   spec.method);
     spec.team = reader.text("team", false);
     spec.deadline_ms = reader.deadline_ms();
     if (!reader.body().contains("body"))
         reader.add("/body", "any JSON value", "nothing");
     if (!reader.findings().empty())
         return reader.findings();
-    nlohmann::json task;
-    task["method"] = spec.method;
-    task["body"] = reader.body().at("body");
-    spec.tasks.push_back(task.dump());
+    spec.tasks.push_back(reader.body().at("body").dump());
     return finish(reader, std::move(spec));
 }
 
--- a/state/dispatch.h
+++ b/state/dispatch.h
@@ -24,13 +24,15 @@
     // Time left until the job's deadline when the message was sent. A task is not started after it.
     std::int64_t remaining_ms = 0;
     std::vector<task_payload> tasks;
+    // Method of a single request; empty for a job.
+    std::string method;
 
     std::chrono::milliseconds remaining() const { return std::chrono::milliseconds{remaining_ms}; }
 
     static constexpr auto members() {
         return std::make_tuple(&dispatch::target, &dispatch::partition, &dispatch::epoch, &dispatch::revision,
                                &dispatch::job, &dispatch::service, &dispatch::traceparent,
-                               &dispatch::remaining_ms, &dispatch::tasks);
+                               &dispatch::remaining_ms, &dispatch::tasks, &dispatch::method);
     }
 };
 
--- a/transport/backend_client.cpp
+++ b/transport/backend_client.cpp
@@ -96,6 +96,8 @@
         add_header("Expect:");
         add_header("Task-Id: " + task_id_of(call_));
         add_header("traceparent: " + call_.traceparent);
+        if (!call_.method.empty())
+            add_header("Request-Method: " + call_.method);
         set(CURLOPT_HTTPHEADER, headers_);
         set(CURLOPT_URL, call_.url.c_str());
         set(CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call_.body.size()));
