Report the calls that end in one round together

Cause: each ended call took the task table's lock and sent a message of its own, and the owner decided anew after each, so bulk jobs of 560 tasks of 1 ms were limited by messages.

--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -6,6 +6,7 @@
 #include "state/limits.h"
 #include "transport/logging.h"
 
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -37,6 +38,33 @@
     return response;
 }
 
+// Adds the report to an earlier one of the same job that is still to be sent; false if there is none.
+bool merge_report(agent_actions& all, const entry_send& send) {
+    const auto* added = std::get_if<task_reports>(&send.message);
+    if (added == nullptr)
+        return false;
+    for (entry_send& earlier : all.sends) {
+        auto* reports = std::get_if<task_reports>(&earlier.message);
+        const bool same = reports != nullptr && earlier.to == send.to && reports->job == added->job &&
+                          reports->epoch == added->epoch;
+        if (!same)
+            continue;
+        reports->load = added->load;
+        reports->reports.insert(reports->reports.end(), added->reports.begin(), added->reports.end());
+        return true;
+    }
+    return false;
+}
+
+void append(agent_actions& all, agent_actions next) {
+    all.calls.insert(all.calls.end(), std::make_move_iterator(next.calls.begin()),
+                     std::make_move_iterator(next.calls.end()));
+    for (entry_send& send : next.sends) {
+        if (!merge_report(all, send))
+            all.sends.push_back(std::move(send));
+    }
+}
+
 } // namespace
 
 agent_daemon::agent_daemon(daemon_settings settings, const clock_source& clock)
@@ -56,10 +84,8 @@
                   session->connection = std::move(connection);
                   open_session(session);
               }} {
-    backends_ = std::make_unique<backend_client>(clock_, [this](const backend_call& call,
-                                                                const backend_result& result) {
-        apply([&](agent_tasks& tasks) { return tasks.answered(call.job, call.index, result, clock_.now()); });
-    });
+    backends_ = std::make_unique<backend_client>(
+        clock_, [this](const std::vector<backend_client::ended_call>& ended) { calls_ended(ended); });
     http_limits limits;
     limits.max_body_bytes = max_announcement_bytes;
     limits.max_connections = 256;
@@ -174,6 +200,17 @@
     --performing_;
 }
 
+void agent_daemon::calls_ended(const std::vector<backend_client::ended_call>& ended) {
+    for (const auto& [call, result] : ended)
+        end_spans(call, result);
+    apply([&](agent_tasks& tasks) {
+        agent_actions all;
+        for (const auto& [call, result] : ended)
+            append(all, tasks.answered(call.job, call.index, result, clock_.now()));
+        return all;
+    });
+}
+
 void agent_daemon::perform(agent_actions actions) {
     for (backend_call& call : actions.calls)
         begin_spans(call);
--- a/daemon/agent_daemon.h
+++ b/daemon/agent_daemon.h
@@ -20,6 +20,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -56,6 +57,7 @@
 
     // Runs one event on the task table under its lock and performs the actions.
     template <typename Event> void apply(Event event);
+    void calls_ended(const std::vector<backend_client::ended_call>& ended);
     void perform(agent_actions actions);
     void count_reports(const task_reports& reports);
     void begin_spans(backend_call& call);
--- a/transport/backend_client.cpp
+++ b/transport/backend_client.cpp
@@ -240,6 +240,7 @@
 }
 
 void backend_client::finish_ended() {
+    std::vector<ended_call> results;
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
         if (message->msg != CURLMSG_DONE)
@@ -250,10 +251,12 @@
         const auto found = active_.find(handle);
         std::unique_ptr<transfer> ended = std::move(found->second);
         active_.erase(found);
-        on_result_(ended->call(), result_of(*ended, code));
+        results.push_back({ended->call(), result_of(*ended, code)});
         if (idle_.size() < max_idle_transfers)
             idle_.push_back(std::move(ended));
     }
+    if (!results.empty())
+        on_result_(results);
 }
 
 backend_result backend_client::result_of(const transfer& ended, int curl_code) {
--- a/transport/backend_client.h
+++ b/transport/backend_client.h
@@ -20,8 +20,13 @@
 // once: it is never repeated on another connection, whatever happened to the first.
 class backend_client {
 public:
-    // Called on the client's thread when a call has ended.
-    using result_handler = std::function<void(const backend_call&, const backend_result&)>;
+    struct ended_call {
+        backend_call call;
+        backend_result result;
+    };
+    // Called on the client's thread with all calls that ended in one round, so that their reports can share
+    // messages.
+    using result_handler = std::function<void(const std::vector<ended_call>&)>;
 
     backend_client(const clock_source& clock, result_handler on_result);
     ~backend_client();
