--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -192,7 +192,7 @@
     const backend& server = found->second;
     if (server.last_announced + announcement_lifetime < now)
         return refusal::no_backend_server;
-    if (server.running + server.queue.size() >= server.announced.slots * (1 + queued_per_slot))
+    if (server.running + server.queue.size() >= std::size_t{server.announced.slots} * (1 + queued_per_slot))
         return refusal::queue_full;
     return std::nullopt;
 }
--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -418,20 +418,25 @@
 void agent_daemon::handle_http(const http_request& request, const http_responder& respond) {
     if (request.method == "POST" && request.path == "/v1/announce")
         respond(announce(request.body));
-    else if (request.method != "GET")
+    else if (request.method == "GET")
+        respond(observe(request.path));
+    else
         respond(text_response(404, "no such resource\n"));
-    else if (request.path == "/healthz")
-        respond(text_response(200, "ok\n"));
-    else if (request.path == "/readyz") {
+}
+
+http_response agent_daemon::observe(const std::string& path) const {
+    if (path == "/healthz")
+        return text_response(200, "ok\n");
+    if (path == "/readyz") {
         const bool ready = recorded_ && fleet_.revision() > 0 && !draining_;
-        respond(ready ? text_response(200, "ready\n") : text_response(503, "not ready\n"));
-    } else if (request.path == "/metrics") {
+        return ready ? text_response(200, "ready\n") : text_response(503, "not ready\n");
+    }
+    if (path == "/metrics") {
         http_response response = text_response(200, metrics_.prometheus_text());
         response.content_type = prometheus_content_type;
-        respond(std::move(response));
-    } else {
-        respond(text_response(404, "no such resource\n"));
+        return response;
     }
+    return text_response(404, "no such resource\n");
 }
 
 http_response agent_daemon::announce(const std::string& body) {
--- a/daemon/agent_daemon.h
+++ b/daemon/agent_daemon.h
@@ -68,6 +68,7 @@
     void tick();
 
     void handle_http(const http_request& request, const http_responder& respond);
+    http_response observe(const std::string& path) const;
     http_response announce(const std::string& body);
 
     daemon_settings settings_;
