Do not give a backend call up before its time

Cause: the time left was rounded down to milliseconds, and libcurl counts whole milliseconds too, so a call ended before give_up. Before: the new test saw a call given up 1.2 ms early; the other 8 cases of tests/backend_client_test.cpp passed without a change: a request on a reused connection that closes is sent once, a refused connection is declined, foreign answers are lost and counted, the connection limit holds. After: 10 runs of backend_client_test, 9 of 9 cases passed in each. Conclusion: an answer that arrives up to give_up counts.

--- a/transport/backend_client.cpp
+++ b/transport/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/backend_client.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
 constexpr long keepalive_seconds = 1;
 constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t max_idle_transfers = 128;
+// libcurl measures timeouts in whole milliseconds and may end a transfer up to one of them early.
+constexpr std::chrono::milliseconds timeout_resolution{1};
 
 std::string task_id_of(const backend_call& call) {
     return call.job + "/" + std::to_string(call.index);
@@ -232,7 +235,8 @@
         next = std::move(idle_.back());
         idle_.pop_back();
     }
-    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(call.give_up - clock_.now());
+    const auto timeout =
+        std::chrono::ceil<std::chrono::milliseconds>(call.give_up - clock_.now()) + timeout_resolution;
     next->prepare(std::move(call), timeout);
     return next;
 }
