Refuse request bodies that are nested too deeply

Cause: the JSON library writes nested values by recursion. A body of 2 MB with a million nested arrays is below the size limit, and writing its task overflowed the stack. Before: entry_api_test a_deeply_nested_body_is_refused ended the process with signal 11; one caller could end every entry. The other cases of the file passed: malformed and mistyped bodies, sizes, ids, wait_ms, GET and DELETE, slow and idle clients, malformed HTTP, a body of 100 MB. After: status 400 with a finding at 128 levels, and the next job is complete. Conclusion: a caller cannot end an entry with a nested body.

--- a/protocol/job_request.cpp
+++ b/protocol/job_request.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -15,6 +16,25 @@
 // A deadline beyond a day is a mistake in the unit.
 constexpr std::int64_t max_deadline_ms = std::int64_t{24} * 3600 * 1000;
 
+// The JSON library writes nested values by recursion, so that a deep document overflows the stack.
+constexpr int max_depth = 128;
+
+// A body as parsed. The value is incomplete if it is too deep.
+struct parsed_body {
+    nlohmann::json value;
+    bool too_deep = false;
+};
+
+parsed_body parse_body(std::string_view text) {
+    parsed_body result;
+    const auto limit_depth = [&](int depth, nlohmann::json::parse_event_t, const nlohmann::json&) {
+        result.too_deep = result.too_deep || depth > max_depth;
+        return !result.too_deep;
+    };
+    result.value = nlohmann::json::parse(text, limit_depth, false);
+    return result;
+}
+
 // Lower-case hexadecimal SHA-256.
 std::string sha256(const std::string& text) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
@@ -32,8 +52,13 @@
 // Reads typed members of a JSON object and collects what is wrong with them.
 class body_reader {
 public:
-    explicit body_reader(std::string_view text)
-        : body_(nlohmann::json::parse(text, nullptr, false)) {
+    explicit body_reader(std::string_view text) {
+        parsed_body parsed = parse_body(text);
+        if (parsed.too_deep) {
+            add("", "at most " + std::to_string(max_depth) + " levels of nesting", "more levels");
+            return;
+        }
+        body_ = std::move(parsed.value);
         if (body_.is_discarded())
             add("", "a JSON object", "malformed JSON");
         else if (!body_.is_object())
