Report the faults of body, id and query together

Cause: a fault in the body was answered before the id and the query were looked at. Before: entry_api_test faults_of_body_id_and_query_are_reported_together got findings for the body alone. The title of the problem is now "Invalid request" for jobs too. Conclusion: a 400 lists everything that is wrong with a request.

--- a/daemon/entry_api.cpp
+++ b/daemon/entry_api.cpp
@@ -62,6 +62,20 @@
     return {true, std::chrono::milliseconds{value}};
 }
 
+// Faults of the id and the query, which are independent of the body.
+void add_target_findings(const job_id& job, const wait_query& query, const http_request& request,
+                         wall_time now, request_findings& problems) {
+    if (!query.valid)
+        problems.push_back(
+            {"query", "wait_ms=N with N from 0 to " + std::to_string(max_wait_ms), request.query});
+    if (!is_valid_job_id(job))
+        problems.push_back(
+            {"path", "an id of 1 to " + std::to_string(max_job_id_length) + " of A-Z a-z 0-9 . _ -", job});
+    const std::optional<wall_time> created = uuid_time(job);
+    if (created && *created > now + clock_skew_limit)
+        problems.push_back({"path", "a UUIDv7 whose time is not in the future", job});
+}
+
 nlohmann::json to_json(const entry_status& status) {
     nlohmann::json json;
     json["name"] = status.name;
@@ -139,11 +153,7 @@
             respond(to_http(make_problem(413, "Body too large", "the limit is 4 MiB")));
             return;
         }
-        auto parsed = parse_job_body(request.body);
-        if (auto* findings = std::get_if<request_findings>(&parsed))
-            respond(to_http(make_findings_response(400, "Invalid job", *findings)));
-        else
-            submit(job, std::move(std::get<job_spec>(parsed)), request, respond);
+        submit(job, parse_job_body(request.body), request, respond);
         return;
     }
     if (request.method != "GET" && request.method != "DELETE") {
@@ -170,34 +180,24 @@
         respond(to_http(make_problem(413, "Body too large", "the limit is 4 MiB")));
         return;
     }
-    auto parsed = parse_request_body(request.body);
-    if (auto* findings = std::get_if<request_findings>(&parsed))
-        respond(to_http(make_findings_response(400, "Invalid request", *findings)));
-    else
-        submit(job, std::move(std::get<job_spec>(parsed)), request, respond);
+    submit(job, parse_request_body(request.body), request, respond);
 }
 
-void entry_api::submit(const job_id& job, job_spec spec, const http_request& request,
-                       const http_responder& respond) {
-    request_findings findings;
+void entry_api::submit(const job_id& job, std::variant<job_spec, request_findings> parsed,
+                       const http_request& request, const http_responder& respond) {
+    request_findings problems;
+    if (auto* body_findings = std::get_if<request_findings>(&parsed))
+        problems = std::move(*body_findings);
     const wait_query query = parse_wait(request.query);
-    if (!query.valid)
-        findings.push_back(
-            {"query", "wait_ms=N with N from 0 to " + std::to_string(max_wait_ms), request.query});
-    if (!is_valid_job_id(job))
-        findings.push_back(
-            {"path", "an id of 1 to " + std::to_string(max_job_id_length) + " of A-Z a-z 0-9 . _ -", job});
-    const std::optional<wall_time> created = uuid_time(job);
-    if (created && *created > clock_.wall_now() + clock_skew_limit)
-        findings.push_back({"path", "a UUIDv7 whose time is not in the future", job});
-    if (!findings.empty()) {
-        respond(to_http(make_findings_response(400, "Invalid job", findings)));
+    add_target_findings(job, query, request, clock_.wall_now(), problems);
+    if (!problems.empty()) {
+        respond(to_http(make_findings_response(400, "Invalid request", problems)));
         return;
     }
     caller_request asked;
     asked.kind = caller_request_kind::submit;
     asked.job = job;
-    asked.spec = std::make_shared<const job_spec>(std::move(spec));
+    asked.spec = std::make_shared<const job_spec>(std::move(std::get<job_spec>(parsed)));
     asked.traceparent = request.traceparent;
     asked.wait = query.wait;
     ask(std::move(asked), respond);
--- a/daemon/entry_api.h
+++ b/daemon/entry_api.h
@@ -2,6 +2,7 @@
 
 #include "daemon/caller_desk.h"
 #include "daemon/entry_status.h"
+#include "protocol/job_request.h"
 #include "state/clock_source.h"
 #include "transport/http_server.h"
 #include "transport/metrics.h"
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <variant>
 
 namespace persimmonstile {
 
@@ -29,7 +31,9 @@
 private:
     void handle_job(const job_id& job, const http_request& request, const http_responder& respond);
     void handle_single_request(const job_id& job, const http_request& request, const http_responder& respond);
-    void submit(const job_id& job, job_spec spec, const http_request& request, const http_responder& respond);
+    // Refuses with the findings on the body, the id and the query together, or asks for the job.
+    void submit(const job_id& job, std::variant<job_spec, request_findings> parsed,
+                const http_request& request, const http_responder& respond);
     void ask(caller_request asked, const http_responder& respond);
 
     const clock_source& clock_;
--- a/tests/entry_api_test.cpp
+++ b/tests/entry_api_test.cpp
@@ -180,6 +180,14 @@
     expect_complete_job("after-bad-bodies");
 }
 
+// Guards against findings on the body that hide those on the id and the query.
+TEST_F(entry_api_test, faults_of_body_id_and_query_are_reported_together) {
+    const call_answer answer = put_job("bad*id", {{"service", 7}, {"tasks", json::array()}}, "?wait_ms=x");
+    EXPECT_EQ(answer.status, 400);
+    EXPECT_EQ(finding_pointers(answer.body), (std::set<std::string>{"/service", "/tasks", "path", "query"}))
+        << answer.body;
+}
+
 // Guards against a process that ends on a deeply nested document, because a recursive writer overflows the
 // stack.
 TEST_F(entry_api_test, a_deeply_nested_body_is_refused) {
