Keep one type for an address with a port

Cause: transport/peer_address and protocol/ip_endpoint parsed the same text. Before: two parsers; peer_address also took an IPv6 number without brackets, which the settings check refuses. The unbracketed form is refused everywhere. Conclusion: settings and connections accept the same addresses.

--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -1,9 +1,9 @@
 #include "daemon/entry_daemon.h"
 
+#include "protocol/ip_endpoint.h"
 #include "protocol/task_codec.h"
 #include "state/limits.h"
 #include "transport/logging.h"
-#include "transport/peer_address.h"
 
 #include <algorithm>
 #include <future>
@@ -28,8 +28,8 @@
     return {name, (high << 32U) | random()};
 }
 
-struct peer_address required_address(const std::string& text) {
-    const auto parsed = parse_peer_address(text);
+ip_endpoint required_address(const std::string& text) {
+    const auto parsed = parse_ip_endpoint(text);
     if (!parsed)
         throw std::invalid_argument("not an ip:port address: " + text);
     return *parsed;
--- a/daemon/peer_dialer.cpp
+++ b/daemon/peer_dialer.cpp
@@ -1,6 +1,6 @@
 #include "daemon/peer_dialer.h"
 
-#include "transport/peer_address.h"
+#include "protocol/ip_endpoint.h"
 
 #include <utility>
 
@@ -22,7 +22,7 @@
         it = connectors_.erase(it);
     }
     for (const std::string& address : addresses) {
-        const std::optional<peer_address> parsed = parse_peer_address(address);
+        const std::optional<ip_endpoint> parsed = parse_ip_endpoint(address);
         if (!parsed || connectors_.contains(address))
             continue;
         auto connector = std::make_shared<frame_connector>(
--- a/protocol/ip_endpoint.cpp
+++ b/protocol/ip_endpoint.cpp
@@ -39,6 +39,12 @@
     return endpoint;
 }
 
+std::string to_string(const ip_endpoint& endpoint) {
+    const bool v6 = endpoint.address.find(':') != std::string::npos;
+    const std::string address = v6 ? "[" + endpoint.address + "]" : endpoint.address;
+    return address + ":" + std::to_string(endpoint.port);
+}
+
 bool is_ip_url(std::string_view text) {
     for (const std::string_view scheme : {std::string_view{"http://"}, std::string_view{"https://"}}) {
         if (text.starts_with(scheme)) {
--- a/transport/frame_connector.cpp
+++ b/transport/frame_connector.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-frame_connector::frame_connector(asio::io_context& context, peer_address address, connect_handler on_connect)
+frame_connector::frame_connector(asio::io_context& context, ip_endpoint address, connect_handler on_connect)
     : strand_{asio::make_strand(asio::any_io_executor{context.get_executor()})}
     , socket_{strand_}
     , timer_{strand_}
@@ -50,7 +50,7 @@
         if (!error)
             self->socket_.close(ignored);
     }));
-    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(address_.ip), address_.port};
+    const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(address_.address), address_.port};
     socket_.async_connect(endpoint,
                           asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error) {
                               self->timer_.cancel();
--- a/transport/frame_connector.h
+++ b/transport/frame_connector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "transport/peer_address.h"
+#include "protocol/ip_endpoint.h"
 
 #include <functional>
 #include <memory>
@@ -15,12 +15,12 @@
 public:
     using connect_handler = std::function<void(asio::ip::tcp::socket)>;
 
-    frame_connector(asio::io_context& context, peer_address address, connect_handler on_connect);
+    frame_connector(asio::io_context& context, ip_endpoint address, connect_handler on_connect);
 
     void start();
     void connection_lost();
     void stop();
-    const peer_address& address() const { return address_; }
+    const ip_endpoint& address() const { return address_; }
 
 private:
     void connect();
@@ -29,7 +29,7 @@
     asio::strand<asio::any_io_executor> strand_;
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    peer_address address_;
+    ip_endpoint address_;
     connect_handler on_connect_;
     std::chrono::milliseconds pause_;
     bool stopped_ = false;
--- a/transport/frame_listener.cpp
+++ b/transport/frame_listener.cpp
@@ -4,9 +4,9 @@
 
 namespace persimmonstile {
 
-frame_listener::frame_listener(asio::io_context& context, const peer_address& address,
+frame_listener::frame_listener(asio::io_context& context, const ip_endpoint& address,
                                accept_handler on_accept)
-    : acceptor_{context, asio::ip::tcp::endpoint{asio::ip::make_address(address.ip), address.port}}
+    : acceptor_{context, asio::ip::tcp::endpoint{asio::ip::make_address(address.address), address.port}}
     , on_accept_{std::move(on_accept)} {}
 
 void frame_listener::start() {
@@ -20,7 +20,7 @@
     });
 }
 
-peer_address frame_listener::local_address() const {
+ip_endpoint frame_listener::local_address() const {
     const auto endpoint = acceptor_.local_endpoint();
     return {endpoint.address().to_string(), endpoint.port()};
 }
--- a/transport/frame_listener.h
+++ b/transport/frame_listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "transport/peer_address.h"
+#include "protocol/ip_endpoint.h"
 
 #include <functional>
 #include <memory>
@@ -15,12 +15,12 @@
     using accept_handler = std::function<void(asio::ip::tcp::socket)>;
 
     // Throws std::system_error if the address cannot be bound.
-    frame_listener(asio::io_context& context, const peer_address& address, accept_handler on_accept);
+    frame_listener(asio::io_context& context, const ip_endpoint& address, accept_handler on_accept);
 
     void start();
     void stop();
     // The bound address, with the port that the system chose if 0 was asked for.
-    peer_address local_address() const;
+    ip_endpoint local_address() const;
 
 private:
     void accept_next();
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -1,6 +1,6 @@
 #include "transport/http_server.h"
 
-#include "transport/peer_address.h"
+#include "protocol/ip_endpoint.h"
 
 #include <atomic>
 #include <future>
@@ -48,13 +48,13 @@
 
 class http_server::implementation {
 public:
-    implementation(const peer_address& address, std::size_t threads, const http_limits& limits,
+    implementation(const ip_endpoint& address, std::size_t threads, const http_limits& limits,
                    http_handler handler)
         : handler_{std::move(handler)} {
         std::promise<std::uint16_t> bound;
         std::future<std::uint16_t> port = bound.get_future();
         auto settings = restinio::server_settings_t<server_traits>{};
-        settings.address(address.ip)
+        settings.address(address.address)
             .port(address.port)
             .request_handler([this](const restinio::request_handle_t& request) { return handle(request); })
             .read_next_http_message_timelimit(limits.read_timeout)
@@ -113,7 +113,7 @@
 
 http_server::http_server(const std::string& address, std::size_t threads, const http_limits& limits,
                          http_handler handler) {
-    std::optional<peer_address> parsed = parse_peer_address(address);
+    std::optional<ip_endpoint> parsed = parse_ip_endpoint(address);
     if (!parsed)
         throw std::invalid_argument("not an ip:port address: " + address);
     implementation_ = std::make_unique<implementation>(*parsed, threads, limits, std::move(handler));
