Record that a repeated request can wait until its deadline

Cause: an agent answers a later attempt of a task whose answer was lost with the report of the earlier attempt, which the owner drops as stray. Before: no test repeated an idempotent request on the agent that lost it. After: the case in agent_tasks_test shows the report of attempt 1 for attempt 2. Conclusion: open. The rule that keeps I1 is in agent_tasks::dispatched and needs a change that still starts nothing twice for other tasks.

--- a/tests/agent_tasks_test.cpp
+++ b/tests/agent_tasks_test.cpp
@@ -64,6 +64,17 @@
     EXPECT_EQ(again.text, "1");
 }
 
+// Guards against a repetition of an idempotent request that waits until its deadline: the owner ignores a
+// report of an earlier attempt.
+TEST_F(agent_tasks_test, a_later_attempt_after_a_lost_answer_is_started_or_reported) {
+    dispatch_task(0, 1);
+    tasks_.answered("job", 0, {backend_result_kind::lost, "no answer"}, now_);
+    const agent_actions repeated = dispatch_task(0, 2);
+    if (repeated.calls.empty()) {
+        EXPECT_EQ(only_report(repeated).attempt, 2U);
+    }
+}
+
 // Guards against a start that follows a revocation which overtook its dispatch.
 TEST_F(agent_tasks_test, a_revoked_attempt_never_starts) {
     revoke withdrawn{partition_of("job"), 1, "job", {{0, 1}}};
--- a/tests/entry_api_test.cpp
+++ b/tests/entry_api_test.cpp
@@ -316,6 +316,48 @@
     EXPECT_EQ(outcome_of("cancelled").status, 410);
 }
 
+// Guards against a non-idempotent request that runs twice (I6), and an idempotent one that is not repeated.
+TEST_F(entry_api_test, only_idempotent_requests_are_repeated) {
+    fleet_declarations declarations = deployment_.declarations();
+    declarations.service_defaults["idempotent_methods"] = std::set<std::string>{"check"};
+    ASSERT_TRUE(deployment_.apply(declarations));
+    const std::uint64_t revision = 2;
+    // Any entry may own a request.
+    const auto is_in_force = [&](std::size_t entry) {
+        http_call status;
+        status.url = deployment_.entry_url(entry) + "/v1/status";
+        const auto answer = perform(status);
+        const auto* received = std::get_if<call_answer>(&answer);
+        return received != nullptr && json::parse(received->body).at("revision") >= revision;
+    };
+    const bool in_force =
+        wait_until(outcome_limit, [&] { return is_in_force(0) && is_in_force(1) && is_in_force(2); });
+    ASSERT_TRUE(in_force);
+    const auto request = [](const std::string& method) {
+        return json{{"service", "dispatch"}, {"method", method}, {"body", {{"run_ms", 1}}}}.dump();
+    };
+    // Every backend server names a wrong task once, which loses the answer.
+    for (std::size_t i = 0; i < deployment_.agent_count(); ++i)
+        deployment_.backend(i).set_fault(backend_fault::wrong_task_id, 1);
+    const call_answer confirm = call("PUT", "/v1/requests/confirm-1", request("confirm"));
+    EXPECT_EQ(confirm.status, 500) << confirm.body;
+    EXPECT_EQ(json::parse(confirm.body, nullptr, false).value("reason", ""), "outcome_unknown")
+        << confirm.body;
+    EXPECT_EQ(deployment_.total_starts(), 1U);
+    // Two backend servers are left with a fault. A request may be repeated twice, so each one is complete.
+    std::size_t requests = 1;
+    const bool repeated = wait_until(outcome_limit, [&] {
+        ++requests;
+        const call_answer check =
+            call("PUT", "/v1/requests/check-" + std::to_string(requests), request("check"));
+        EXPECT_EQ(check.status, 200) << check.body;
+        return deployment_.total_starts() > requests;
+    });
+    EXPECT_TRUE(repeated) << deployment_.total_starts() << " starts of " << requests << " requests";
+    EXPECT_EQ(call("PUT", "/v1/requests/invalid", R"({"service":"dispatch"})").status, 400);
+    EXPECT_EQ(call("POST", "/v1/requests/wrong-method", request("check")).status, 405);
+}
+
 // Guards against slow or idle clients that keep the others from being served.
 TEST_F(entry_api_test, unfinished_requests_do_not_hold_back_another_caller) {
     std::vector<std::unique_ptr<raw_client>> slow;
