Keep one search for the nearest name

Cause: nearest_name and closest_name computed the same edit distance with two thresholds. Before: a suggestion depended on which of the two a command used. After: closest_name alone, with describe_choices. Conclusion: the threshold is half of the longer name everywhere, so short names no longer get suggestions that share few characters.

--- a/cli/explain_config_command.cpp
+++ b/cli/explain_config_command.cpp
@@ -3,10 +3,10 @@
 #include "cli/config_output.h"
 #include "cli/config_store.h"
 #include "cli/store_options.h"
+#include "protocol/closest_name.h"
 #include "protocol/fleet_difference.h"
 #include "protocol/fleet_json.h"
 #include "protocol/fleet_settings.h"
-#include "protocol/nearest_name.h"
 #include "protocol/timestamp.h"
 #include "transport/system_clock_source.h"
 
--- a/cli/zone_command.cpp
+++ b/cli/zone_command.cpp
@@ -5,7 +5,7 @@
 #include "cli/config_store.h"
 #include "cli/store_options.h"
 #include "cli/wait_in_force.h"
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 #include "transport/system_clock_source.h"
 
 #include <algorithm>
--- a/protocol/closest_name.cpp
+++ b/protocol/closest_name.cpp
@@ -6,6 +6,8 @@
 namespace persimmonstile {
 namespace {
 
+constexpr std::size_t max_listed_choices = 10;
+
 // Longer texts are no misspelt names, and the distance takes quadratic time.
 constexpr std::size_t max_compared_length = 128;
 
@@ -46,4 +48,18 @@
     return nearest;
 }
 
+std::string describe_choices(const std::string& name, const std::vector<std::string>& candidates) {
+    if (candidates.empty())
+        return "a declared name (none is declared)";
+    std::string text = "one of ";
+    const std::size_t listed = std::min(candidates.size(), max_listed_choices);
+    for (std::size_t i = 0; i < listed; ++i)
+        text += (i == 0 ? "" : ", ") + candidates[i];
+    if (listed < candidates.size())
+        text += " and " + std::to_string(candidates.size() - listed) + " more";
+    if (const auto nearest = closest_name(name, candidates))
+        text += " (nearest: " + *nearest + ")";
+    return text;
+}
+
 } // namespace persimmonstile
--- a/protocol/closest_name.h
+++ b/protocol/closest_name.h
@@ -11,4 +11,7 @@
 // if every candidate differs in more than half of the characters of the longer of the two.
 std::optional<std::string> closest_name(std::string_view word, const std::vector<std::string>& candidates);
 
+// "one of a, b, c (nearest: b)", as findings report what they expected. Long lists are cut.
+std::string describe_choices(const std::string& name, const std::vector<std::string>& candidates);
+
 } // namespace persimmonstile
--- a/protocol/fleet_check.cpp
+++ b/protocol/fleet_check.cpp
@@ -1,10 +1,10 @@
 #include "protocol/fleet_check.h"
 
 #include "protocol/bounded_json.h"
+#include "protocol/closest_name.h"
 #include "protocol/fleet_json.h"
 #include "protocol/fleet_schema.h"
 #include "protocol/fleet_settings.h"
-#include "protocol/nearest_name.h"
 #include "protocol/schema_check.h"
 #include "protocol/timestamp.h"
 
--- a/protocol/schema_check.cpp
+++ b/protocol/schema_check.cpp
@@ -1,6 +1,6 @@
 #include "protocol/schema_check.h"
 
-#include "protocol/nearest_name.h"
+#include "protocol/closest_name.h"
 
 #include <set>
 
