Test store outage, planned stops, zone exclusion and cancellations on a deployment

Cause: nothing tested these failures on whole daemons with connections and a store. Before: no test.

--- a/tests/deployment_failure_test.cpp
+++ b/tests/deployment_failure_test.cpp
@@ -11,9 +11,12 @@
 #include <algorithm>
 #include <atomic>
 #include <filesystem>
+#include <functional>
 #include <future>
 #include <iostream>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <set>
 #include <sstream>
 #include <string>
@@ -262,5 +265,348 @@
     EXPECT_TRUE(is_whole(next_answer, next, tasks)) << next_answer.status << next_answer.body.substr(0, 500);
 }
 
+// Callers that submit one job after the other until they are stopped. Like callers behind a load balancer,
+// they send no new call to an entry that is taken out, and repeat a job that was refused as not_run.
+class caller_load {
+public:
+    struct totals {
+        std::size_t whole = 0;
+        std::size_t refused = 0;
+        std::size_t unknown = 0;
+        // Neither whole nor a truthful refusal, with the first of them.
+        std::size_t wrong = 0;
+        std::string first_wrong;
+    };
+
+    using submit_function = std::function<reply(std::size_t, const std::string&, const std::string&)>;
+
+    caller_load(std::size_t callers, std::size_t tasks, milliseconds run_time, submit_function submit)
+        : tasks_{tasks}
+        , body_{job_body(tasks, run_time)}
+        , submit_{std::move(submit)} {
+        for (std::size_t i = 0; i < callers; ++i)
+            threads_.emplace_back([this, i] { run(i); });
+    }
+
+    ~caller_load() { finish(); }
+
+    void take_out(std::size_t entry) { out_ = entry; }
+    void take_back() { out_ = none; }
+
+    totals so_far() const {
+        const std::lock_guard lock{mutex_};
+        return totals_;
+    }
+
+    totals finish() {
+        stopped_ = true;
+        for (std::thread& thread : threads_)
+            thread.join();
+        threads_.clear();
+        return so_far();
+    }
+
+private:
+    static constexpr std::size_t none = 99;
+
+    void run(std::size_t number) {
+        const system_clock_source clock;
+        for (std::size_t round = number; !stopped_; ++round) {
+            const std::size_t entry = round % 3;
+            if (entry != out_)
+                count(clock, entry);
+        }
+    }
+
+    void count(const system_clock_source& clock, std::size_t entry) {
+        const std::string job = make_uuid_v7(clock.wall_now());
+        const reply received = submit_(entry, job, body_);
+        const json body = json::parse(received.body, nullptr, false);
+        const bool is_refusal = received.status == 503 || received.status == 429;
+        const std::lock_guard lock{mutex_};
+        if (is_whole(received, job, tasks_))
+            ++totals_.whole;
+        else if (is_refusal && body.is_object() && body.value("reason", "") == "not_run")
+            ++totals_.refused;
+        else if (is_outcome_unknown(received))
+            ++totals_.unknown;
+        else if (totals_.wrong++ == 0)
+            totals_.first_wrong = std::to_string(received.status) + ' ' + received.body.substr(0, 500);
+    }
+
+    const std::size_t tasks_;
+    const std::string body_;
+    const submit_function submit_;
+    std::atomic<std::size_t> out_{none};
+    std::atomic<bool> stopped_{false};
+    mutable std::mutex mutex_;
+    totals totals_;
+    std::vector<std::thread> threads_;
+};
+
+class deployment_under_load : public deployment_failure {
+protected:
+    void start_load(std::size_t callers, std::size_t tasks, milliseconds run_time) {
+        load_ = std::make_unique<caller_load>(
+            callers, tasks, run_time,
+            [this](std::size_t entry, const std::string& job, const std::string& body) {
+                return submit(entry, job, body);
+            });
+        ASSERT_TRUE(wait_for_whole(callers));
+    }
+
+    // Waits until this many more jobs are complete.
+    bool wait_for_whole(std::size_t more) const {
+        const std::size_t wanted = load_->so_far().whole + more;
+        return wait_until(condition_limit, [&] { return load_->so_far().whole >= wanted; });
+    }
+
+    // Lets the load go on until the clock passes a time; false if the clock stands still.
+    bool wait_until_time(time_point time) const {
+        return wait_until(milliseconds{30000}, [&] { return clock_.now() >= time; });
+    }
+
+    void expect_every_job_whole() {
+        const caller_load::totals totals = load_->finish();
+        EXPECT_EQ(totals.wrong, 0U) << totals.first_wrong;
+        EXPECT_EQ(totals.unknown, 0U);
+        std::cout << totals.whole << " jobs complete, " << totals.refused << " refused as not_run\n";
+    }
+
+    void TearDown() override {
+        load_.reset();
+        deployment_failure::TearDown();
+    }
+
+    std::unique_ptr<caller_load> load_;
+};
+
+std::uint64_t calls(const store_counts& counts) {
+    return counts.ranges + counts.puts + counts.txns + counts.watches + counts.lease_grants +
+           counts.lease_keepalives;
+}
+
+// Guards against jobs that depend on the store, and against entries that flood a store that is down.
+TEST_F(deployment_under_load, store_outage_stops_no_job_and_a_restarted_entry_comes_back) {
+    start();
+    start_load(6, 6, milliseconds{50});
+    constexpr seconds outage{10};
+    const time_point down = clock_.now();
+    const std::uint64_t before = calls(deployment_->store().counts());
+    store_faults faults;
+    faults.outage = store_outage::refuse;
+    deployment_->store().set_faults(faults);
+    ASSERT_TRUE(wait_until_time(down + outage / 2));
+    ASSERT_TRUE(wait_for_whole(10));
+    const caller_load::totals undisturbed = load_->finish();
+    EXPECT_EQ(undisturbed.wrong + undisturbed.unknown + undisturbed.refused, 0U) << undisturbed.first_wrong;
+
+    deployment_->kill_entry(1);
+    deployment_->start_entry(1);
+    ASSERT_TRUE(wait_until_time(down + outage));
+    const std::uint64_t during = calls(deployment_->store().counts()) - before;
+    deployment_->store().set_faults({});
+    const time_point up = clock_.now();
+    ASSERT_TRUE(deployment_->wait_until_ready(ready_limit));
+    std::cout << undisturbed.whole << " jobs complete in the outage, " << during
+              << " calls to the store, ready after " << ms(clock_.now() - up) << " ms\n";
+    // One call a second for each entry and one for the watch, and two reads at the start of an entry.
+    EXPECT_LE(during, 4U * outage.count() + 2U);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const std::string job = new_job();
+        const reply answer = submit(entry, job, job_body(10, milliseconds{10}));
+        EXPECT_TRUE(is_whole(answer, job, 10)) << answer.status << answer.body.substr(0, 500);
+    }
+}
+
+// Guards against new work for a backend server that leaves or stopped announcing itself (I7).
+TEST_F(deployment_under_load, backend_server_that_leaves_or_falls_silent_gets_no_new_task) {
+    start();
+    start_load(6, 6, milliseconds{100});
+    const time_point left = clock_.now();
+    deployment_->backend(0).set_announced_state(backend_announced_state::leaving);
+    deployment_->backend(1).set_announced_state(backend_announced_state::silent);
+    ASSERT_TRUE(wait_until_time(left + 2 * exclusion_target));
+    ASSERT_TRUE(wait_for_whole(10));
+    for (const std::size_t backend : {0U, 1U}) {
+        EXPECT_TRUE(starts_after(backend, left + exclusion_target).empty());
+        const std::vector<time_point> last = starts_after(backend, left);
+        std::cout << "last start on backend server " << backend + 1 << ": "
+                  << (last.empty() ? 0.0 : ms(last.back() - left)) << " ms\n";
+    }
+    expect_every_job_whole();
+}
+
+// Guards against calls that a planned stop of an entry cuts off, and jobs that it loses (I8).
+TEST_F(deployment_under_load, planned_stop_of_each_entry_cuts_off_no_call) {
+    start();
+    start_load(6, 6, milliseconds{100});
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const time_point began = clock_.now();
+        load_->take_out(entry);
+        EXPECT_TRUE(deployment_->stop_entry(entry, seconds{20}));
+        std::cout << "entry " << entry + 1 << " drained after " << ms(clock_.now() - began) << " ms\n";
+        EXPECT_TRUE(wait_for_whole(10));
+        deployment_->start_entry(entry);
+        ASSERT_TRUE(deployment_->wait_until_ready(ready_limit));
+        load_->take_back();
+        EXPECT_TRUE(wait_for_whole(10));
+    }
+    expect_every_job_whole();
+}
+
+// Guards against tasks whose outcome a planned stop of an agent leaves open (I8).
+TEST_F(deployment_under_load, planned_stop_of_an_agent_leaves_no_outcome_open) {
+    start();
+    start_load(6, 6, milliseconds{100});
+    EXPECT_TRUE(deployment_->stop_agent(0, seconds{20}));
+    EXPECT_TRUE(wait_for_whole(10));
+    deployment_->start_agent(0);
+    ASSERT_TRUE(deployment_->wait_until_ready(ready_limit));
+    EXPECT_TRUE(wait_for_whole(10));
+    expect_every_job_whole();
+}
+
+// Guards against starts in a zone that is out of service, and a zone that stays unused when it is back (I3).
+TEST_F(deployment_under_load, zone_out_of_service_gets_no_start_until_it_is_back) {
+    start();
+    start_load(8, 6, milliseconds{100});
+    const auto done = [&] {
+        return load_->so_far().whole;
+    };
+    const time_point all_in = clock_.now();
+    const std::size_t whole_at_first = done();
+    ASSERT_TRUE(wait_until_time(all_in + seconds{2}));
+
+    const std::size_t whole_before = done();
+    fleet_declarations declarations = deployment_->declarations();
+    declarations.exceptions.push_back(
+        {{scope_kind::zone, "zone-1"}, "in_service", false, "test", "maintenance", std::nullopt});
+    ASSERT_TRUE(deployment_->apply(declarations));
+    const time_point out = clock_.now();
+    ASSERT_TRUE(wait_until_time(out + 2 * exclusion_target));
+    EXPECT_TRUE(wait_for_whole(10));
+    EXPECT_TRUE(starts_after(0, out + exclusion_target).empty());
+    const std::vector<time_point> last = starts_after(0, out);
+    std::cout << "last start in the zone: " << (last.empty() ? 0.0 : ms(last.back() - out)) << " ms\n";
+
+    const std::size_t whole_out = done();
+    declarations.exceptions.clear();
+    ASSERT_TRUE(deployment_->apply(declarations));
+    const time_point in = clock_.now();
+    EXPECT_TRUE(wait_until(seconds{3}, [&] { return !starts_after(0, in).empty(); }));
+    const std::vector<time_point> first = starts_after(0, in);
+    std::cout << "first start in the zone: " << (first.empty() ? -1.0 : ms(first.front() - in)) << " ms\n";
+    ASSERT_TRUE(wait_until_time(in + seconds{2}));
+    const auto rate = [](std::size_t jobs, std::chrono::duration<double> time) {
+        return static_cast<double>(jobs) / time.count();
+    };
+    std::cout << "jobs/s before " << rate(whole_before - whole_at_first, out - all_in) << ", out "
+              << rate(whole_out - whole_before, in - out) << ", back "
+              << rate(done() - whole_out, clock_.now() - in) << '\n';
+    expect_every_job_whole();
+}
+
+// Guards against cancelled tasks that still start, and a wave of cancellations that delays other jobs.
+TEST_F(deployment_failure, wave_of_cancellations_starts_nothing_and_delays_no_other_job) {
+    start();
+    fleet_declarations declarations = deployment_->declarations();
+    declarations.teams.insert("bulk");
+    // The bound leaves slots free for the other team, so that its response time shows only the wave.
+    declarations.exceptions.push_back(
+        {{scope_kind::team, "bulk"}, "max_running", std::uint64_t{6}, "test", "bulk work", std::nullopt});
+    ASSERT_TRUE(deployment_->apply(declarations));
+    constexpr std::size_t jobs = 2000;
+    constexpr std::size_t workers = 8;
+    std::string bulk = job_body(2, milliseconds{1000});
+    bulk.replace(bulk.find("stores"), 6, "bulk");
+    // The team is refused until the entries know it.
+    ASSERT_TRUE(wait_until(condition_limit, [&] {
+        for (std::size_t entry = 0; entry < 3; ++entry) {
+            const json status =
+                json::parse(call("GET", deployment_->entry_url(entry) + "/v1/status").body, nullptr, false);
+            if (!status.is_object() || status.value("revision", 0) < 2)
+                return false;
+        }
+        return true;
+    }));
+
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < jobs; ++i)
+        ids.push_back(new_job());
+    const auto for_each_job = [&](const std::function<void(std::size_t)>& act) {
+        std::vector<std::thread> threads;
+        for (std::size_t worker = 0; worker < workers; ++worker) {
+            threads.emplace_back([&, worker] {
+                for (std::size_t i = worker; i < jobs; i += workers)
+                    act(i);
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+    };
+    std::atomic<std::size_t> accepted{0};
+    for_each_job([&](std::size_t i) {
+        if (call("PUT", job_url(i % 3, ids[i]) + "?wait_ms=0", bulk).status == 202)
+            ++accepted;
+    });
+    EXPECT_EQ(accepted, jobs);
+
+    const std::string probe_body = job_body(3, milliseconds{50});
+    const auto probe = [&](std::size_t round) {
+        const std::string job = new_job();
+        const time_point began = clock_.now();
+        const reply answer = submit(round % 3, job, probe_body);
+        EXPECT_TRUE(is_whole(answer, job, 3)) << answer.status << answer.body.substr(0, 500);
+        return ms(clock_.now() - began);
+    };
+    const auto median = [](std::vector<double> values) {
+        std::sort(values.begin(), values.end());
+        return values.at(values.size() / 2);
+    };
+    std::vector<double> before;
+    for (std::size_t i = 0; i < 9; ++i)
+        before.push_back(probe(i));
+
+    std::vector<time_point> cancelled_at(jobs);
+    std::vector<long> cancel_status(jobs);
+    std::future<void> wave = std::async(std::launch::async, [&] {
+        for_each_job([&](std::size_t i) {
+            cancel_status[i] = call("DELETE", job_url((i + 1) % 3, ids[i])).status;
+            cancelled_at[i] = clock_.now();
+        });
+    });
+    std::vector<double> meanwhile;
+    const time_point wave_began = clock_.now();
+    do
+        meanwhile.push_back(probe(meanwhile.size()));
+    while (wave.wait_for(milliseconds{0}) != std::future_status::ready);
+    wave.get();
+    const double wave_time = ms(clock_.now() - wave_began);
+
+    // A task that still waited somewhere would start once the running ones, of one second, have ended.
+    ASSERT_TRUE(wait_until(condition_limit, [&] { return clock_.now() > wave_began + seconds{5}; }));
+    std::map<std::string, std::size_t> index;
+    for (std::size_t i = 0; i < jobs; ++i)
+        index.emplace(ids[i], i);
+    std::size_t late = 0;
+    double latest = 0;
+    for (std::size_t backend = 0; backend < deployment_->agent_count(); ++backend) {
+        for (const task_start& started : deployment_->backend(backend).start_log()) {
+            const auto found = index.find(started.task.substr(0, started.task.find('/')));
+            if (found == index.end() || started.at <= cancelled_at[found->second])
+                continue;
+            ++late;
+            latest = std::max(latest, ms(started.at - cancelled_at[found->second]));
+        }
+    }
+    EXPECT_EQ(late, 0U) << "the latest start came " << latest << " ms after the answer to the cancellation";
+    const auto answered_410 = std::count(cancel_status.begin(), cancel_status.end(), 410);
+    std::cout << answered_410 << " answers 410; wave took " << wave_time << " ms; median response time "
+              << median(before) << " ms before, " << median(meanwhile) << " ms in the wave of "
+              << meanwhile.size() << " probes\n";
+    EXPECT_LE(median(meanwhile), 2 * median(before));
+}
+
 } // namespace
 } // namespace persimmonstile
