Let a planned stop answer for the jobs that never reached the agent

Cause: two faults that the new tests found. (1) A new owner asks all recorded agents about ids that are older than its takeover plus 4 s; an agent that stopped as planned cannot answer, so jobs that never reached it ended with outcome_unknown. (2) An agent refused a later attempt after a lost answer also for an idempotent request and sent the report of the earlier attempt, which the owner drops, so the repetition waited until the deadline. Conclusion: an unknown outcome after a planned stop needs a lost message.

--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -147,9 +147,7 @@
             task_record& record = known->second;
             const bool later =
                 std::pair{message.epoch, task.attempt} > std::pair{record.epoch, record.attempt};
-            const bool unstarted =
-                record.state == phase::ended && record.report.status == task_status::not_started;
-            if (!(later && unstarted)) {
+            if (!(later && may_start_again(record, message.idempotent))) {
                 // A copy of a dispatch: answer with the result if there is one, otherwise it follows.
                 if (record.state == phase::ended)
                     reports.push_back(record.report);
@@ -177,6 +175,22 @@
     return actions;
 }
 
+// A refused attempt never ran. One whose result was lost may run again only if the request is idempotent.
+bool agent_tasks::may_start_again(const task_record& record, bool idempotent) {
+    if (record.state != phase::ended)
+        return false;
+    const task_status status = record.report.status;
+    return status == task_status::not_started || (idempotent && status == task_status::unknown);
+}
+
+std::vector<std::uint64_t> agent_tasks::known_jobs() const {
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(jobs_.size());
+    for (const auto& [job, tasks] : jobs_)
+        hashes.push_back(hash_of(job));
+    return hashes;
+}
+
 std::optional<refusal> agent_tasks::refuse_reason(const dispatch& message, time_point now) const {
     if (draining_)
         return refusal::draining;
--- a/coordination/agent_tasks.h
+++ b/coordination/agent_tasks.h
@@ -50,6 +50,9 @@
     // Announcements and task deadlines that ran out, records past the deduplication window.
     agent_actions tick(time_point now);
 
+    // Hashes of all jobs of which there is a record, for agent_parting.
+    std::vector<std::uint64_t> known_jobs() const;
+
     agent_status status() const;
     // True once after an announcement ran out, so that entries can be told.
     bool take_status_change();
@@ -92,6 +95,7 @@
     };
 
     bool may_start(time_point now) const;
+    static bool may_start_again(const task_record& record, bool idempotent);
     std::optional<refusal> refuse_reason(const dispatch& message, time_point now) const;
     void accept(const dispatch& message, const task_payload& task, job_tasks& job, time_point now);
     void refuse_queued(refusal reason, time_point now, agent_actions& actions);
--- a/coordination/job_event.h
+++ b/coordination/job_event.h
@@ -8,6 +8,7 @@
 #include "coordination/partition_gain.h"
 #include "coordination/partition_loss.h"
 #include "coordination/submission.h"
+#include "state/agent_parting.h"
 #include "state/forward_lookup.h"
 #include "state/job_report.h"
 #include "state/task_reports.h"
@@ -20,6 +21,6 @@
 // alternative is its code in recorded files, so new ones go last.
 using job_event =
     std::variant<submission, forward_lookup, caller_left, admission_decision, assignment, task_reports,
-                 job_report, agent_presence, partition_gain, partition_loss, clock_tick>;
+                 job_report, agent_presence, partition_gain, partition_loss, clock_tick, agent_parting>;
 
 } // namespace persimmonstile
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -196,18 +196,42 @@
         return;
     }
     record.phase = job_phase::querying;
-    record.unanswered = partition.suspects;
-    for (const incarnation& agent : partition.suspects)
-        actions.sends.push_back({agent, query_job{record.partition, partition.epoch, request.job}});
     for (const incarnation& agent : partition.suspects) {
-        if (!gone_agents_.contains(agent))
+        if (has_parted_without(agent, request.job))
             continue;
-        end_job(request.job, record,
-                failure(failure_reason::outcome_unknown,
-                        "agent " + agent.name + " that may have run tasks of this job is gone"),
-                now, actions);
-        return;
+        if (gone_agents_.contains(agent)) {
+            end_job(request.job, record,
+                    failure(failure_reason::outcome_unknown,
+                            "agent " + agent.name + " that may have run tasks of this job is gone"),
+                    now, actions);
+            return;
+        }
+        record.unanswered.insert(agent);
+        actions.sends.push_back({agent, query_job{record.partition, partition.epoch, request.job}});
+    }
+    if (record.unanswered.empty())
+        finish_query(request.job, record, now, actions);
+}
+
+bool job_table::has_parted_without(const incarnation& agent, const job_id& job) const {
+    const auto found = parted_agents_.find(agent);
+    return found != parted_agents_.end() && !found->second.jobs.contains(hash_of(job));
+}
+
+job_actions job_table::apply(const agent_parting& parting, time_point now, wall_time) {
+    job_actions actions;
+    parted_agents_[parting.agent] = {now, {parting.jobs.begin(), parting.jobs.end()}};
+    for (auto& [job, record] : jobs_) {
+        const bool answered = record.phase == job_phase::querying &&
+                              record.unanswered.contains(parting.agent) &&
+                              has_parted_without(parting.agent, job);
+        if (!answered)
+            continue;
+        record.unanswered.erase(parting.agent);
+        if (record.unanswered.empty())
+            finish_query(job, record, now, actions);
     }
+    return actions;
 }
 
 bool job_table::needs_query(const job_id& job, const owned_partition& partition) const {
@@ -342,6 +366,7 @@
     message.job = job;
     message.service = record.spec->service;
     message.method = record.spec->method;
+    message.idempotent = record.idempotent;
     message.traceparent = record.traceparent;
     message.remaining_ms = std::chrono::duration_cast<milliseconds>(record.deadline - now).count();
     message.tasks.reserve(tasks.size());
@@ -540,8 +565,14 @@
             const auto index = static_cast<task_index>(i);
             release(record, job, agent);
             task.phase = task_phase::done;
-            if (record.phase != job_phase::ended)
-                task_unknown(job, record, task, index, now, actions);
+            if (record.phase == job_phase::ended)
+                continue;
+            if (has_parted_without(agent, job)) {
+                task.phase = task_phase::waiting;
+                actions.queue.push_back({job, record.spec, {index}, record.deadline, false});
+                continue;
+            }
+            task_unknown(job, record, task, index, now, actions);
         }
     }
     for (auto& [job, record] : jobs_) {
@@ -618,6 +649,8 @@
 }
 
 void job_table::expire_ended(time_point now) {
+    std::erase_if(parted_agents_,
+                  [&](const auto& parted) { return parted.second.when + deduplication_window <= now; });
     while (!ended_order_.empty() && ended_order_.front().first + deduplication_window <= now) {
         const auto [ended, job] = ended_order_.front();
         ended_order_.pop_front();
--- a/coordination/job_table.h
+++ b/coordination/job_table.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace persimmonstile {
@@ -41,6 +42,8 @@
     job_actions apply(const partition_loss& lost, time_point now, wall_time wall_now);
     // Deadlines and the end of the deduplication window. To be called at least every 50 ms.
     job_actions apply(const clock_tick& tick, time_point now, wall_time wall_now);
+    // The agent answers for every job that it does not list, also after it is gone.
+    job_actions apply(const agent_parting& parting, time_point now, wall_time wall_now);
 
     std::size_t active_jobs() const { return active_jobs_; }
     std::size_t retained_bytes() const { return retained_bytes_; }
@@ -52,6 +55,10 @@
         wall_time gained;
         std::set<incarnation> suspects;
     };
+    struct parted_agent {
+        time_point when;
+        std::unordered_set<std::uint64_t> jobs;
+    };
     using job_map = std::unordered_map<job_id, job_record>;
 
     void start_job(const submission& request, job_record& record, time_point now, job_actions& actions);
@@ -60,6 +67,7 @@
     void admitted(const job_id& job, job_actions& actions);
     job_actions agent_connected(const incarnation& agent, config_revision revision, time_point now);
     job_actions agent_gone(const incarnation& agent, time_point now);
+    bool has_parted_without(const incarnation& agent, const job_id& job) const;
     bool needs_query(const job_id& job, const owned_partition& partition) const;
     job_actions drop_admitting(const job_id& job, const job_reply& reply);
     void finish_query(const job_id& job, job_record& record, time_point now, job_actions& actions);
@@ -85,6 +93,8 @@
     std::multimap<time_point, job_id> deadlines_;
     std::deque<std::pair<time_point, job_id>> ended_order_;
     std::set<incarnation> gone_agents_;
+    // Agents that stopped as planned, for as long as their records would have counted.
+    std::map<incarnation, parted_agent> parted_agents_;
     std::size_t active_jobs_ = 0;
     std::size_t retained_bytes_ = 0;
 };
--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -122,11 +122,17 @@
     // The last results must reach their owners before the process ends.
     if (!closing_.exchange(true)) {
         dialer_.stop();
+        entries_.send_to_all(parting());
         entries_.close_gracefully();
     }
     return entries_.connected().empty();
 }
 
+agent_parting agent_daemon::parting() const {
+    const std::lock_guard lock{tasks_mutex_};
+    return {self_, tasks_.known_jobs()};
+}
+
 void agent_daemon::stop() {
     if (std::exchange(stopped_, true))
         return;
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -277,6 +277,8 @@
             answer(fleet_.push());
     } else if (const auto* asked = std::get_if<recovery_request>(&message)) {
         agents_.send_to_others(asked->asker, *asked);
+    } else if (const auto* parting = std::get_if<agent_parting>(&message)) {
+        engine_.agent_parted(*parting);
     } else if (const auto* recovery = std::get_if<recovery_reply>(&message)) {
         if (recovery->asker == self_)
             perform(ownership_.records_replied(*recovery, now));
--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -212,6 +212,11 @@
         apply(*entry, agent_presence{agent, true, revision()});
 }
 
+void job_engine::agent_parted(const agent_parting& parting) {
+    for (const auto& entry : shards_)
+        apply(*entry, parting);
+}
+
 void job_engine::set_fleet(std::shared_ptr<const fleet_view> fleet) {
     {
         const std::lock_guard lock{fleet_mutex_};
--- a/daemon/job_engine.h
+++ b/daemon/job_engine.h
@@ -44,6 +44,7 @@
     void agent_connected(const agent_status& status, bool is_new_connection);
     void agent_disconnected(const incarnation& agent);
     void agent_gone(const incarnation& agent);
+    void agent_parted(const agent_parting& parting);
 
     void set_fleet(std::shared_ptr<const fleet_view> fleet);
     void set_entry_count(std::uint32_t entries);
--- a/protocol/control_codec.cpp
+++ b/protocol/control_codec.cpp
@@ -20,8 +20,9 @@
 
 // Method names, in the order of the alternatives of control_message.
 constexpr std::array<const char*, std::variant_size_v<control_message>> method_names{
-    "agent_status", "entry_hello", "grant_request", "grant_reply", "table_push",       "table_ack",
-    "get_content",  "config_push", "view_ping",     "view_pong",   "recovery_request", "recovery_reply"};
+    "agent_status",     "entry_hello",    "grant_request", "grant_reply", "table_push",
+    "table_ack",        "get_content",    "config_push",   "view_ping",   "view_pong",
+    "recovery_request", "recovery_reply", "agent_parting"};
 
 template <typename T>
 constexpr bool is_periodic = std::is_same_v<T, grant_request> || std::is_same_v<T, grant_reply> ||
--- a/state/ids.cpp
+++ b/state/ids.cpp
@@ -16,8 +16,12 @@
 
 } // namespace
 
+std::uint64_t hash_of(const job_id& job) {
+    return XXH3_64bits(job.data(), job.size());
+}
+
 partition_id partition_of(const job_id& job) {
-    return static_cast<partition_id>(XXH3_64bits(job.data(), job.size()) % partition_count);
+    return static_cast<partition_id>(hash_of(job) % partition_count);
 }
 
 bool is_valid_job_id(const std::string& text) {
--- a/state/ids.h
+++ b/state/ids.h
@@ -31,6 +31,9 @@
 // Maps a job id to its partition. Every process must compute the same value, so the hash is fixed to XXH3.
 partition_id partition_of(const job_id& job);
 
+// Hash that stands for a job id where a list of ids would be too long.
+std::uint64_t hash_of(const job_id& job);
+
 // True if the text has the allowed length and characters.
 bool is_valid_job_id(const std::string& text);
 
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -198,7 +198,10 @@
             take_over(chance(50));
             break;
         case 1:
-            restart_agent(static_cast<int>(pick(agent_count)));
+            if (chance(50))
+                restart_agent(static_cast<int>(pick(agent_count)));
+            else
+                stop_agent(static_cast<int>(pick(agent_count)));
             break;
         case 2:
             cut(pick(owners_.size()), static_cast<int>(pick(agent_count)));
@@ -237,6 +240,31 @@
         }
     }
 
+    // A planned stop: the agent drains, tells every owner which jobs it knows, and comes back as a new
+    // incarnation.
+    void stop_agent(int index) {
+        note(agents_[index].id.name + " stops as planned");
+        perform_agent(agents_[index], agents_[index].tasks->drain(now_));
+        finish_stop(index, agents_[index].id);
+    }
+
+    void finish_stop(int index, const incarnation& stopping) {
+        agent& draining = agents_[index];
+        if (draining.id != stopping)
+            return;
+        if (draining.tasks->running() > 0) {
+            at(20, [this, index, stopping] { finish_stop(index, stopping); });
+            return;
+        }
+        const agent_parting parting{stopping, draining.tasks->known_jobs()};
+        for (std::size_t o = 0; o < owners_.size(); ++o)
+            deliver(o, index, [this, o, parting] {
+                if (owners_[o]->alive)
+                    perform(o, owners_[o]->jobs->apply(parting, now_, wall()));
+            });
+        restart_agent(index);
+    }
+
     void restart_agent(int index) {
         agent& restarted = agents_[index];
         const incarnation old = restarted.id;
--- a/transport/metric_labels.h
+++ b/transport/metric_labels.h
@@ -35,6 +35,7 @@
     view_pong,
     recovery_request,
     recovery_reply,
+    agent_parting,
     heartbeat
 };
 constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::heartbeat) + 1;
