Keep a draining agent until new owners ask no questions

Cause: a new owner asks every recorded agent about ids younger than its takeover plus twice the clock skew; an agent that stopped in this time left these jobs with outcome_unknown, although nothing was lost. Ids of other forms, and ids from before the takeover, still end as outcome_unknown while an agent is gone. Other tests have not been run with it.

--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -88,7 +88,7 @@
         return false;
     {
         const std::lock_guard lock{tasks_mutex_};
-        if (tasks_.running() > 0)
+        if (!tasks_.may_leave(clock_.now()))
             return false;
     }
     if (performing_ > 0)
