Check that no cancelled job is unknown

Cause: one of 2000 accepted jobs answered its cancellation with 404 in one run; the test printed it and passed. Before: no check.

--- a/tests/deployment_failure_test.cpp
+++ b/tests/deployment_failure_test.cpp
@@ -639,6 +639,9 @@
         }
     }
     EXPECT_EQ(late, 0U) << "the latest start came " << latest << " ms after the answer to the cancellation";
+    // An accepted job that its owner does not know is lost.
+    for (std::size_t i = 0; i < jobs; ++i)
+        EXPECT_NE(cancel_status[i], 404) << "job " << i << ", " << ids[i];
     std::map<long, std::size_t> statuses;
     for (const long status : cancel_status)
         ++statuses[status];
