--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -20,12 +20,6 @@
 // Accepted tasks that may not start for this long are handed back to the owner.
 constexpr milliseconds blocked_queue_limit{500};
 
-// New owners of a partition act one grant period and a margin after the table change. They ask every recorded
-// agent about ids that may be older than that plus twice the clock skew, and the answer of an agent that has
-// left is an outcome that stays unknown. One second covers the acknowledgements.
-constexpr milliseconds question_time =
-    grant_period + clock_rate_margin + 2 * clock_skew_limit + milliseconds{1000};
-
 task_report unstarted_report(task_index index, std::uint32_t attempt, refusal reason) {
     task_report report;
     report.index = index;
@@ -66,7 +60,7 @@
         return actions;
     table_version_ = table.version;
     for (std::size_t i = 0; i < table.partitions.size() && i < epochs_.size(); ++i)
-        raise_epoch(static_cast<partition_id>(i), table.partitions[i].epoch, now);
+        epochs_[i] = std::max(epochs_[i], table.partitions[i].epoch);
     start_queued(now, actions);
     return actions;
 }
@@ -103,17 +97,6 @@
     return actions;
 }
 
-bool agent_tasks::may_leave(time_point now) const {
-    return draining_ && running_count_ == 0 && now >= questions_until_;
-}
-
-void agent_tasks::raise_epoch(partition_id partition, epoch_number epoch, time_point now) {
-    if (epoch <= epochs_[partition])
-        return;
-    epochs_[partition] = epoch;
-    questions_until_ = now + question_time;
-}
-
 bool agent_tasks::announced(const announcement& announced, time_point now) {
     backend& server = backends_[announced.service];
     const bool changed = server.announced != announced;
@@ -142,7 +125,7 @@
         report(message.job, refused_job, std::move(reports), actions);
         return actions;
     }
-    raise_epoch(message.partition, message.epoch, now);
+    epochs_[message.partition] = message.epoch;
     const std::uint64_t own_revision = fleet_ ? fleet_->revision : 0;
     if (message.revision > own_revision) {
         required_revision_ = std::max(required_revision_, message.revision);
@@ -277,7 +260,7 @@
         ++stale_messages_;
         return actions;
     }
-    raise_epoch(message.partition, message.epoch, now);
+    epochs_[message.partition] = message.epoch;
     job_report answer;
     answer.agent = self_;
     answer.partition = message.partition;
--- a/coordination/agent_tasks.h
+++ b/coordination/agent_tasks.h
@@ -38,8 +38,6 @@
     agent_actions set_recorded(time_point now);
     // Refuses new tasks from now on; accepted ones that have not started are refused, running ones finish.
     agent_actions drain(time_point now);
-    // True once a draining agent has no running task and no new owner of a partition needs its answers.
-    bool may_leave(time_point now) const;
 
     // Returns true if the status that entries know has changed.
     bool announced(const announcement& announced, time_point now);
@@ -96,7 +94,6 @@
         std::deque<queued_task> queue;
     };
 
-    void raise_epoch(partition_id partition, epoch_number epoch, time_point now);
     bool may_start(time_point now) const;
     static bool may_start_again(const task_record& record, bool idempotent);
     std::optional<refusal> refuse_reason(const dispatch& message, time_point now) const;
@@ -118,7 +115,6 @@
     std::shared_ptr<const fleet_view> fleet_;
     config_revision required_revision_ = 0;
     time_point lease_until_{};
-    time_point questions_until_{};
     bool recorded_ = false;
     bool draining_ = false;
     bool status_changed_ = false;
--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -114,7 +114,7 @@
         return false;
     {
         const std::lock_guard lock{tasks_mutex_};
-        if (!tasks_.may_leave(clock_.now()))
+        if (tasks_.running() > 0)
             return false;
     }
     if (performing_ > 0)
