Answer 202 only after the owner has accepted the job

Ruled out: a lost job at the owner; it had refused it. Before: job_pending from the clock alone. After: the entry asks the owner, on the connection that carried the job, and tells what it answers. Also: a later attempt of a task that keeps its one run is answered with the result under the new attempt, so that the owner does not drop it.

--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -148,7 +148,13 @@
             const bool later =
                 std::pair{message.epoch, task.attempt} > std::pair{record.epoch, record.attempt};
             if (!(later && may_start_again(record, message.idempotent))) {
-                // A copy of a dispatch: answer with the result if there is one, otherwise it follows.
+                // The task keeps its one run, and its result answers the later attempt too. A copy of a
+                // dispatch is answered with the result if there is one; otherwise the result follows.
+                if (later) {
+                    record.epoch = message.epoch;
+                    record.attempt = task.attempt;
+                    record.report.attempt = task.attempt;
+                }
                 if (record.state == phase::ended)
                     reports.push_back(record.report);
                 continue;
--- a/daemon/caller_desk.cpp
+++ b/daemon/caller_desk.cpp
@@ -137,6 +137,7 @@
     if (found->second.where != place::unsent)
         found->second.unsent_since = clock_.now();
     found->second.where = place::unsent;
+    found->second.confirming = false;
 }
 
 void caller_desk::deliver(const caller_answer& answer) {
@@ -161,6 +162,7 @@
 }
 
 void caller_desk::deliver_forwarded(const incarnation& owner, const job_result& result) {
+    bool is_submission = false;
     {
         const std::lock_guard lock{mutex_};
         const auto found = pending_.find(result.token);
@@ -168,8 +170,11 @@
                               found->second.sent_to == owner;
         if (!expected)
             return;
+        is_submission = found->second.request.kind == caller_request_kind::submit;
     }
-    if (std::holds_alternative<job_wrong_owner>(result.reply))
+    // An owner that does not know a submitted job has lost it, so it is submitted again.
+    const bool unknown = is_submission && std::holds_alternative<job_not_found>(result.reply);
+    if (unknown || std::holds_alternative<job_wrong_owner>(result.reply))
         mark_unsent(result.token);
     else
         finish(result.token, result.reply);
@@ -229,19 +234,32 @@
         place where = place::unsent;
         job_reply reply;
     };
+    struct confirmation {
+        incarnation owner;
+        forward_lookup lookup;
+    };
     std::vector<caller_token> unsent;
+    std::vector<confirmation> unconfirmed;
     std::vector<expired_request> expired;
     const time_point now = clock_.now();
     {
         const std::lock_guard lock{mutex_};
-        for (const auto& [token, waiting] : pending_) {
+        for (auto& [token, waiting] : pending_) {
             std::optional<job_reply> reply = expired_reply(waiting, now);
             if (reply)
                 expired.push_back({token, waiting.request.job, waiting.where, std::move(*reply)});
             else if (waiting.where == place::unsent)
                 unsent.push_back(token);
+            else if (needs_confirmation(waiting, now)) {
+                waiting.confirming = true;
+                unconfirmed.push_back({waiting.sent_to, {token, waiting.request.job, false}});
+            }
         }
     }
+    // The caller may be told that the job is pending only if the owner has accepted it: the owner may be
+    // refusing it.
+    for (const confirmation& asked : unconfirmed)
+        forward_(asked.owner, asked.lookup);
     for (const expired_request& ended : expired) {
         if (ended.where == place::own_engine)
             engine_->forget_caller(ended.job, ended.token);
@@ -251,11 +269,16 @@
         route(token);
 }
 
+bool caller_desk::needs_confirmation(const pending& waiting, time_point now) {
+    return std::holds_alternative<reply_handler>(waiting.caller) && waiting.where == place::other_entry &&
+           !waiting.confirming && waiting.request.wait && now >= waiting.asked + *waiting.request.wait;
+}
+
 std::optional<job_reply> caller_desk::expired_reply(const pending& waiting, time_point now) const {
     if (std::holds_alternative<remote_caller>(waiting.caller))
         return std::nullopt;
     const bool waited_enough = waiting.request.wait && now >= waiting.asked + *waiting.request.wait;
-    if (waited_enough && (waiting.was_sent || waiting.where != place::unsent))
+    if (waited_enough && waiting.where == place::own_engine)
         return job_pending{};
     const bool unsent = waiting.where == place::unsent;
     if (unsent && now >= waiting.unsent_since + unsent_limit)
--- a/daemon/caller_desk.h
+++ b/daemon/caller_desk.h
@@ -85,6 +85,8 @@
         place where = place::unsent;
         incarnation sent_to;
         bool was_sent = false;
+        // The owner was asked whether it accepted the job, because the caller's wait is over.
+        bool confirming = false;
         time_point asked;
         time_point unsent_since;
     };
@@ -95,6 +97,7 @@
     bool send_to(const incarnation& owner, caller_token token, const caller_request& request);
     void finish(caller_token token, const job_reply& reply);
     void mark_unsent(caller_token token);
+    static bool needs_confirmation(const pending& waiting, time_point now);
     std::optional<job_reply> expired_reply(const pending& waiting, time_point now) const;
 
     const clock_source& clock_;
--- a/tests/agent_tasks_test.cpp
+++ b/tests/agent_tasks_test.cpp
@@ -29,7 +29,7 @@
     }
 
     agent_actions dispatch_task(task_index index, std::uint32_t attempt = 1, epoch_number epoch = 1,
-                                config_revision revision = 1) {
+                                config_revision revision = 1, bool idempotent = false) {
         dispatch message;
         message.target = self;
         message.job = "job";
@@ -39,6 +39,7 @@
         message.service = service;
         message.remaining_ms = 60000;
         message.tasks = {{index, attempt, "{}"}};
+        message.idempotent = idempotent;
         return tasks_.dispatched(owner, message, now_);
     }
 
@@ -75,6 +76,23 @@
     }
 }
 
+// Guards against a second start of a task whose answer was lost, unless the request is idempotent.
+TEST_F(agent_tasks_test, only_an_idempotent_request_starts_again_after_a_lost_answer) {
+    dispatch_task(0, 1);
+    tasks_.answered("job", 0, {backend_result_kind::lost, "no answer"}, now_);
+    const agent_actions refused = dispatch_task(0, 2);
+    EXPECT_TRUE(refused.calls.empty());
+    EXPECT_EQ(only_report(refused).status, task_status::unknown);
+    EXPECT_EQ(dispatch_task(0, 3, 1, 1, true).calls.size(), 1U);
+}
+
+// Guards against an unknown outcome for jobs that never reached an agent which stopped as planned.
+TEST_F(agent_tasks_test, known_jobs_are_those_with_a_record) {
+    EXPECT_TRUE(tasks_.known_jobs().empty());
+    dispatch_task(0);
+    EXPECT_EQ(tasks_.known_jobs(), std::vector<std::uint64_t>{hash_of("job")});
+}
+
 // Guards against a start that follows a revocation which overtook its dispatch.
 TEST_F(agent_tasks_test, a_revoked_attempt_never_starts) {
     revoke withdrawn{partition_of("job"), 1, "job", {{0, 1}}};
--- a/tests/backend_client_test.cpp
+++ b/tests/backend_client_test.cpp
@@ -182,10 +182,11 @@
 class result_list {
 public:
     backend_client::result_handler handler() {
-        return [this](const backend_call& call, const backend_result& result) {
+        return [this](const std::vector<backend_client::ended_call>& ended) {
             {
                 const std::lock_guard lock{mutex_};
-                results_.emplace_back(call.index, result);
+                for (const auto& [call, result] : ended)
+                    results_.emplace_back(call.index, result);
             }
             changed_.notify_all();
         };
