Hand over what a live owner knows, and confirm adopted tasks

Cause: (1) after every planned change of the table the new owner asked all agents about ids younger than 4 s, so a job submitted right after an agent had died ended with outcome_unknown although nobody had ever seen it. (2) The job world found two jobs that stayed dispatched until their deadline: a copy of query_job made the agent give up a task of the same epoch (history 14676), and a late answer to a query, from a replaced connection, called a task running whose report had been lost (history 58110). Ruled out: a smaller margin for the id's time; it rests on the clock skew. Conclusion: a former owner that lives sends the hashes of its jobs to its direct successor; a query gives up only tasks of older epochs; adopted tasks get a copy of their dispatch.

--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -278,12 +278,13 @@
         job.owner = owner;
         job.epoch = message.epoch;
         for (auto& [index, record] : job.tasks) {
-            if (record.state == phase::queued)
+            // A query of the record's own epoch is a late copy, whose answer the owner ignores.
+            if (record.state == phase::queued && record.epoch < message.epoch)
                 end_unstarted(job, index, record, refusal::revoked, now);
             task_report entry = record.report;
             entry.index = index;
             entry.attempt = record.attempt;
-            if (record.state == phase::running)
+            if (record.state != phase::ended)
                 entry.status = task_status::running;
             answer.reports.push_back(std::move(entry));
         }
--- a/coordination/job_actions.h
+++ b/coordination/job_actions.h
@@ -66,6 +66,8 @@
     std::vector<job_id> dropped;
     // Jobs whose waiting tasks the scheduler must drop.
     std::vector<job_id> withdrawn;
+    // Partitions that were lost; each goes to the new owner.
+    std::vector<partition_handover> handovers;
     // Reports that belonged to no outstanding task: late, duplicated or crossed.
     std::size_t stray_reports = 0;
 };
--- a/coordination/job_event.h
+++ b/coordination/job_event.h
@@ -11,6 +11,7 @@
 #include "state/agent_parting.h"
 #include "state/forward_lookup.h"
 #include "state/job_report.h"
+#include "state/partition_handover.h"
 #include "state/task_reports.h"
 
 #include <variant>
@@ -19,8 +20,8 @@
 
 // Everything that can happen to a job table. Recorded events replay to the same actions. The position of an
 // alternative is its code in recorded files, so new ones go last.
-using job_event =
-    std::variant<submission, forward_lookup, caller_left, admission_decision, assignment, task_reports,
-                 job_report, agent_presence, partition_gain, partition_loss, clock_tick, agent_parting>;
+using job_event = std::variant<submission, forward_lookup, caller_left, admission_decision, assignment,
+                               task_reports, job_report, agent_presence, partition_gain, partition_loss,
+                               clock_tick, agent_parting, partition_handover>;
 
 } // namespace persimmonstile
--- a/coordination/job_table.cpp
+++ b/coordination/job_table.cpp
@@ -101,7 +101,8 @@
     owned_partition& partition = partitions_[gained.partition];
     partition.epoch = gained.epoch;
     partition.first_epoch = gained.first_epoch;
-    partition.gained = wall_now;
+    partition.known_since = wall_now;
+    partition.inherited.clear();
     partition.suspects = {gained.suspects.begin(), gained.suspects.end()};
     return {};
 }
@@ -109,13 +110,25 @@
 job_actions job_table::apply(const partition_loss& lost, time_point, wall_time) {
     job_actions actions;
     const partition_id partition = lost.partition;
-    partitions_.erase(partition);
+    const auto owned = partitions_.find(partition);
+    if (owned == partitions_.end())
+        return actions;
+    partition_handover handover;
+    handover.partition = partition;
+    handover.epoch = owned->second.epoch;
+    handover.first_epoch = owned->second.first_epoch;
+    handover.known_since_ns =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(owned->second.known_since.time_since_epoch())
+            .count();
+    handover.jobs.assign(owned->second.inherited.begin(), owned->second.inherited.end());
+    partitions_.erase(owned);
     for (auto it = jobs_.begin(); it != jobs_.end();) {
         job_record& record = it->second;
         if (record.partition != partition) {
             ++it;
             continue;
         }
+        handover.jobs.push_back(hash_of(it->first));
         answer_callers(it->first, record, job_wrong_owner{}, actions);
         for (const auto& [agent, tasks] : dispatched_by_agent(record)) {
             for (const task_index index : tasks) {
@@ -133,6 +146,7 @@
             --active_jobs_;
         it = jobs_.erase(it);
     }
+    actions.handovers.push_back(std::move(handover));
     return actions;
 }
 
@@ -235,10 +249,26 @@
 }
 
 bool job_table::needs_query(const job_id& job, const owned_partition& partition) const {
-    if (partition.first_epoch || partition.suspects.empty())
+    if (partition.suspects.empty())
+        return false;
+    if (partition.inherited.contains(hash_of(job)))
+        return true;
+    if (partition.first_epoch)
         return false;
     const std::optional<wall_time> created = uuid_time(job);
-    return !created || *created <= partition.gained + new_id_margin;
+    return !created || *created <= partition.known_since + new_id_margin;
+}
+
+job_actions job_table::apply(const partition_handover& handover, time_point, wall_time) {
+    const auto owned = partitions_.find(handover.partition);
+    // Knowledge of an epoch before the last one has a gap.
+    if (owned == partitions_.end() || owned->second.epoch != handover.epoch + 1)
+        return {};
+    owned->second.first_epoch = handover.first_epoch;
+    owned->second.known_since = wall_time{
+        std::chrono::duration_cast<wall_time::duration>(std::chrono::nanoseconds{handover.known_since_ns})};
+    owned->second.inherited.insert(handover.jobs.begin(), handover.jobs.end());
+    return {};
 }
 
 job_actions job_table::apply(const forward_lookup& request, time_point now, wall_time) {
@@ -465,11 +495,27 @@
         if (record.phase == job_phase::querying)
             apply_queried_task(report.job, record, report.agent, task, now, actions);
     }
+    if (record.phase == job_phase::querying)
+        confirm_adopted(report, record, now, actions);
     if (record.phase == job_phase::querying && record.unanswered.empty())
         finish_query(report.job, record, now, actions);
     return actions;
 }
 
+// The answer may have come late over a connection that has been replaced, and a task that it calls running
+// may have ended since, with its report lost. A copy of the dispatch makes the agent report an ended task
+// again.
+void job_table::confirm_adopted(const job_report& report, const job_record& record, time_point now,
+                                job_actions& actions) const {
+    std::vector<task_index> adopted;
+    for (const task_report& task : report.reports) {
+        if (task.status == task_status::running && task.index < record.tasks.size())
+            adopted.push_back(task.index);
+    }
+    if (!adopted.empty())
+        send_dispatch(report.job, record, report.agent, adopted, 0, now, actions);
+}
+
 void job_table::apply_queried_task(const job_id& job, job_record& record, const incarnation& agent,
                                    const task_report& report, time_point now, job_actions& actions) {
     if (report.index >= record.tasks.size())
--- a/coordination/job_table.h
+++ b/coordination/job_table.h
@@ -44,6 +44,8 @@
     job_actions apply(const clock_tick& tick, time_point now, wall_time wall_now);
     // The agent answers for every job that it does not list, also after it is gone.
     job_actions apply(const agent_parting& parting, time_point now, wall_time wall_now);
+    // What the former owner knew of a partition that this shard owns in the next epoch.
+    job_actions apply(const partition_handover& handover, time_point now, wall_time wall_now);
 
     std::size_t active_jobs() const { return active_jobs_; }
     std::size_t retained_bytes() const { return retained_bytes_; }
@@ -52,7 +54,10 @@
     struct owned_partition {
         epoch_number epoch = 0;
         bool first_epoch = false;
-        wall_time gained;
+        // Ids that were created after this, with a margin for clocks, and are not among inherited are new.
+        wall_time known_since;
+        // Jobs that the former owner knew.
+        std::unordered_set<std::uint64_t> inherited;
         std::set<incarnation> suspects;
     };
     struct parted_agent {
@@ -71,6 +76,8 @@
     bool needs_query(const job_id& job, const owned_partition& partition) const;
     job_actions drop_admitting(const job_id& job, const job_reply& reply);
     void finish_query(const job_id& job, job_record& record, time_point now, job_actions& actions);
+    void confirm_adopted(const job_report& report, const job_record& record, time_point now,
+                         job_actions& actions) const;
     void apply_queried_task(const job_id& job, job_record& record, const incarnation& agent,
                             const task_report& report, time_point now, job_actions& actions);
     void apply_report(const job_id& job, job_record& record, const task_reports& reports,
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -56,7 +56,8 @@
               metrics_,
               journal_,
               [this](const caller_answer& answer) { desk_.deliver(answer); },
-              [](const ended_job&) {
+              [this](const partition_handover& handover) {
+                  hand_over(handover);
               }}
     , desk_{clock, self_,
             [this](const incarnation& to, const task_message& message) {
@@ -183,6 +184,8 @@
         engine_.query_answered(*report);
     } else if (!session.entry) {
         log_event(log_level::warn, component, "message from a peer that did not introduce itself");
+    } else if (const auto* handover = std::get_if<partition_handover>(&message)) {
+        handover_received(*handover);
     } else if (const auto* result = std::get_if<job_result>(&message)) {
         desk_.deliver_forwarded(*session.entry, *result);
     } else if (const auto* job = std::get_if<forward_job>(&message)) {
@@ -296,6 +299,11 @@
         engine_.lose(partition);
     for (const partition_gain& gained : actions.gained) {
         engine_.gain(gained);
+        const auto handover = handovers_.find(gained.partition);
+        if (handover != handovers_.end()) {
+            engine_.handed_over(handover->second);
+            handovers_.erase(handover);
+        }
         for (const incarnation& gone : agents_.expect(gained.suspects))
             engine_.agent_gone(gone);
     }
@@ -316,6 +324,23 @@
         });
 }
 
+// On the control strand, as partitions are lost there.
+void entry_daemon::hand_over(const partition_handover& handover) {
+    const owner_table& table = ownership_.table();
+    if (handover.partition >= table.partitions.size())
+        return;
+    metrics_.messages.add(message_kind::partition_handover);
+    entries_.send(table.partitions[handover.partition].owner, task_message{handover});
+}
+
+// The former owner learns of the change first. Its message is kept until this entry gains the partition.
+void entry_daemon::handover_received(const partition_handover& handover) {
+    asio::post(control_, [this, handover] {
+        engine_.handed_over(handover);
+        handovers_[handover.partition] = handover;
+    });
+}
+
 void entry_daemon::table_changed() {
     const owner_table& table = ownership_.table();
     desk_.set_table(table);
--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -20,6 +20,7 @@
 #include "transport/tracing.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -63,6 +64,8 @@
     void agent_control_received(const control_message& message,
                                 const std::shared_ptr<frame_connection>& connection);
     void perform(const ownership_actions& actions);
+    void hand_over(const partition_handover& handover);
+    void handover_received(const partition_handover& handover);
     void table_changed();
     void stored_config_received(const std::string& content);
     void config_received(const std::string& content);
@@ -91,6 +94,7 @@
     std::string peer_address_;
     peer_dialer dialer_;
     ownership ownership_;
+    std::map<partition_id, partition_handover> handovers_;
     std::unique_ptr<store_worker> store_;
     std::unique_ptr<entry_api> api_;
     std::unique_ptr<http_server> http_;
--- a/daemon/job_engine.cpp
+++ b/daemon/job_engine.cpp
@@ -8,14 +8,14 @@
 namespace persimmonstile {
 
 job_engine::job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
-                       event_journal& journal, answer_handler on_answer, ended_handler on_ended)
+                       event_journal& journal, answer_handler on_answer, handover_handler on_handover)
     : clock_{clock}
     , agents_{agents}
     , tracer_{spans}
     , metrics_{metrics}
     , journal_{journal}
     , on_answer_{std::move(on_answer)}
-    , on_ended_{std::move(on_ended)} {
+    , on_handover_{std::move(on_handover)} {
     for (std::uint32_t i = 0; i < shard_count; ++i) {
         shards_[i] = std::make_unique<shard>();
         shards_[i]->number = i;
@@ -50,10 +50,10 @@
         metrics_.messages.add(kind_of(send.message));
         agents_.send(send.to, send.message);
     }
-    for (const ended_job& ended : actions.ended) {
+    for (const ended_job& ended : actions.ended)
         end_span(ended);
-        on_ended_(ended);
-    }
+    for (const partition_handover& handover : actions.handovers)
+        on_handover_(handover);
     for (const caller_answer& answer : actions.answers)
         on_answer_(answer);
     for (const job_id& job : actions.dropped)
@@ -217,6 +217,10 @@
         apply(*entry, parting);
 }
 
+void job_engine::handed_over(const partition_handover& handover) {
+    apply(*shards_[handover.partition % shard_count], handover);
+}
+
 void job_engine::set_fleet(std::shared_ptr<const fleet_view> fleet) {
     {
         const std::lock_guard lock{fleet_mutex_};
--- a/daemon/job_engine.h
+++ b/daemon/job_engine.h
@@ -27,10 +27,10 @@
 class job_engine {
 public:
     using answer_handler = std::function<void(const caller_answer&)>;
-    using ended_handler = std::function<void(const ended_job&)>;
+    using handover_handler = std::function<void(const partition_handover&)>;
 
     job_engine(const clock_source& clock, agent_hub& agents, tracer& spans, daemon_metrics& metrics,
-               event_journal& journal, answer_handler on_answer, ended_handler on_ended);
+               event_journal& journal, answer_handler on_answer, handover_handler on_handover);
 
     void gain(const partition_gain& gained);
     void lose(partition_id partition);
@@ -45,6 +45,7 @@
     void agent_disconnected(const incarnation& agent);
     void agent_gone(const incarnation& agent);
     void agent_parted(const agent_parting& parting);
+    void handed_over(const partition_handover& handover);
 
     void set_fleet(std::shared_ptr<const fleet_view> fleet);
     void set_entry_count(std::uint32_t entries);
@@ -84,7 +85,7 @@
     daemon_metrics& metrics_;
     event_journal& journal_;
     answer_handler on_answer_;
-    ended_handler on_ended_;
+    handover_handler on_handover_;
     std::array<std::unique_ptr<shard>, shard_count> shards_;
     mutable std::mutex scheduler_mutex_;
     scheduler scheduler_{std::random_device{}()};
--- a/protocol/recorded_event_json.cpp
+++ b/protocol/recorded_event_json.cpp
@@ -64,6 +64,7 @@
         json["queue"].push_back(to_json(request));
     for (const ended_job& ended : actions.ended)
         json["ended"].push_back({ended.job, ended.complete, static_cast<int>(ended.reason)});
+    json["handovers"] = actions.handovers.size();
     json["withdrawn"] = actions.withdrawn;
     json["stray"] = actions.stray_reports;
     const std::string text = dump(json);
--- a/state/task_message.h
+++ b/state/task_message.h
@@ -5,6 +5,7 @@
 #include "state/forward_lookup.h"
 #include "state/job_report.h"
 #include "state/job_result.h"
+#include "state/partition_handover.h"
 #include "state/query_job.h"
 #include "state/revoke.h"
 #include "state/task_reports.h"
@@ -16,6 +17,6 @@
 // Every message of the task plane. The position of an alternative is its code on the wire, so new ones go
 // last.
 using task_message = std::variant<dispatch, revoke, query_job, task_reports, job_report, forward_job,
-                                  forward_lookup, job_result>;
+                                  forward_lookup, job_result, partition_handover>;
 
 } // namespace persimmonstile
--- a/tests/agent_tasks_test.cpp
+++ b/tests/agent_tasks_test.cpp
@@ -112,6 +112,19 @@
     EXPECT_EQ(tasks_.stale_messages(), 1U);
 }
 
+// Guards against a task that is given up without the owner's knowledge: history 14676 of the job world had a
+// copy of the query that arrived after the dispatch which followed its first answer.
+TEST_F(agent_tasks_test, a_late_copy_of_a_query_gives_nothing_up) {
+    const query_job query{partition_of("job"), 2, "job"};
+    tasks_.queried(owner, query, now_);
+    for (task_index i = 0; i < 3; ++i)
+        dispatch_task(i, 1, 2);
+    tasks_.queried(owner, query, now_);
+    const agent_actions ended = tasks_.answered("job", 0, {backend_result_kind::answered, "1"}, now_);
+    EXPECT_EQ(ended.calls.size(), 1U);
+    EXPECT_EQ(ended.calls.at(0).index, 2U);
+}
+
 // Guards against an answer on behalf of another incarnation, which may have started the task.
 TEST_F(agent_tasks_test, a_dispatch_for_another_incarnation_is_not_answered) {
     dispatch message;
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -229,9 +229,9 @@
         if (old_dies)
             owners_[old]->alive = false;
         else
-            at(pick(3000), [this, old] {
+            at(pick(3000), [this, old, next = current_] {
                 for (partition_id p = 0; p < partition_count; ++p)
-                    perform(old, owners_[old]->jobs->apply(partition_loss{p}, now_, wall()));
+                    lose(old, next, p);
             });
         // Callers of the old owner come back, as the entries send their waiting requests to the new one.
         for (const auto& [token, waiting] : callers_) {
@@ -265,6 +265,18 @@
         restart_agent(index);
     }
 
+    void lose(std::size_t old, std::size_t next, partition_id partition) {
+        const job_actions actions = owners_[old]->jobs->apply(partition_loss{partition}, now_, wall());
+        perform(old, actions);
+        for (const partition_handover& handover : actions.handovers) {
+            if (chance(80))
+                at(pick(50), [this, next, handover] {
+                    if (owners_[next]->alive)
+                        perform(next, owners_[next]->jobs->apply(handover, now_, wall()));
+                });
+        }
+    }
+
     void restart_agent(int index) {
         agent& restarted = agents_[index];
         const incarnation old = restarted.id;
--- a/transport/metric_labels.cpp
+++ b/transport/metric_labels.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 constexpr std::array<std::string_view, message_kind_count> message_kind_names{
-    "dispatch",         "revoke",         "query_job",       "task_reports", "job_report",    "forward_job",
-    "forward_lookup",   "job_result",     "agent_status",    "entry_hello",  "grant_request", "grant_reply",
-    "table_push",       "table_ack",      "content_request", "config_push",  "view_ping",     "view_pong",
-    "recovery_request", "recovery_reply", "agent_parting",   "heartbeat"};
+    "dispatch",        "revoke",         "query_job",   "task_reports",       "job_report",
+    "forward_job",     "forward_lookup", "job_result",  "partition_handover", "agent_status",
+    "entry_hello",     "grant_request",  "grant_reply", "table_push",         "table_ack",
+    "content_request", "config_push",    "view_ping",   "view_pong",          "recovery_request",
+    "recovery_reply",  "agent_parting",  "heartbeat"};
 
 constexpr std::array<std::string_view, outcome_label_count> outcome_names{
     "complete", "not_run", "task_failed", "deadline_exceeded", "cancelled", "outcome_unknown"};
--- a/transport/metric_labels.h
+++ b/transport/metric_labels.h
@@ -23,6 +23,7 @@
     forward_job,
     forward_lookup,
     job_result,
+    partition_handover,
     agent_status,
     entry_hello,
     grant_request,
