Treat a confirming dispatch as a copy of the adopted attempt

Cause: the copy of a dispatch that confirms an adopted task named the new epoch while the agent's record kept the old one, so after a refusal the agent took it for a later attempt and started the task, which the owner had given to another agent: history 492 of the job world, a task started twice. Ruled out: the fence; both dispatches came from the present owner. Before: violation at history 492. Conclusion: a query moves running attempts into the new epoch.

--- a/coordination/agent_tasks.cpp
+++ b/coordination/agent_tasks.cpp
@@ -284,8 +284,11 @@
             task_report entry = record.report;
             entry.index = index;
             entry.attempt = record.attempt;
-            if (record.state != phase::ended)
+            // The new owner adopts this attempt, so its dispatches of the same attempt are copies.
+            if (record.state != phase::ended) {
+                record.epoch = message.epoch;
                 entry.status = task_status::running;
+            }
             answer.reports.push_back(std::move(entry));
         }
         if (job.open == 0)
--- a/tests/agent_tasks_test.cpp
+++ b/tests/agent_tasks_test.cpp
@@ -125,6 +125,18 @@
     EXPECT_EQ(ended.calls.at(0).index, 2U);
 }
 
+// Guards against a second start: history 492 of the job world had an owner that confirmed an adopted task
+// with a copy of its dispatch while the task's refusal was on its way, which sent it to another agent.
+TEST_F(agent_tasks_test, a_dispatch_of_an_adopted_attempt_is_a_copy) {
+    dispatch_task(0);
+    tasks_.queried({"entry-2", 1}, {partition_of("job"), 2, "job"}, now_);
+    tasks_.answered("job", 0, {backend_result_kind::declined, "declined"}, now_);
+    const agent_actions copy = dispatch_task(0, 1, 2);
+    EXPECT_TRUE(copy.calls.empty());
+    EXPECT_EQ(only_report(copy).status, task_status::not_started);
+    EXPECT_EQ(dispatch_task(0, 2, 2).calls.size(), 1U);
+}
+
 // Guards against an answer on behalf of another incarnation, which may have started the task.
 TEST_F(agent_tasks_test, a_dispatch_for_another_incarnation_is_not_answered) {
     dispatch message;
