--- a/daemon/entry_api.cpp
+++ b/daemon/entry_api.cpp
@@ -128,23 +128,28 @@
         handle_single_request(path.substr(requests_prefix.size()), request, respond);
         return;
     }
-    if (request.method != "GET")
+    if (request.method == "GET")
+        respond(observe(path));
+    else
         respond(to_http(make_problem(404, "Not found", "no such resource")));
-    else if (path == "/healthz")
-        respond(plain(200, "ok\n"));
-    else if (path == "/readyz")
-        respond(daemon_.is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n"));
-    else if (path == "/metrics") {
+}
+
+http_response entry_api::observe(const std::string& path) const {
+    if (path == "/healthz")
+        return plain(200, "ok\n");
+    if (path == "/readyz")
+        return daemon_.is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n");
+    if (path == "/metrics") {
         http_response response = plain(200, metrics_.prometheus_text());
         response.content_type = prometheus_content_type;
-        respond(std::move(response));
-    } else if (path == "/v1/status") {
+        return response;
+    }
+    if (path == "/v1/status") {
         http_response response;
         response.body = to_json(daemon_.status()).dump();
-        respond(std::move(response));
-    } else {
-        respond(to_http(make_problem(404, "Not found", "no such resource")));
+        return response;
     }
+    return to_http(make_problem(404, "Not found", "no such resource"));
 }
 
 void entry_api::handle_job(const job_id& job, const http_request& request, const http_responder& respond) {
--- a/daemon/entry_api.h
+++ b/daemon/entry_api.h
@@ -29,6 +29,7 @@
     void handle(const http_request& request, const http_responder& respond);
 
 private:
+    http_response observe(const std::string& path) const;
     void handle_job(const job_id& job, const http_request& request, const http_responder& respond);
     void handle_single_request(const job_id& job, const http_request& request, const http_responder& respond);
     // Refuses with the findings on the body, the id and the query together, or asks for the job.
