--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -441,8 +441,8 @@
         status.active_jobs = engine_.active_jobs();
         status.waiting_tasks = engine_.waiting_tasks();
         status.agents = agents_.statuses();
-        for (partition_id p = 0; p < table.partitions.size(); ++p) {
-            if (ownership_.owns(p, clock_.now()))
+        for (std::size_t p = 0; p < table.partitions.size(); ++p) {
+            if (ownership_.owns(static_cast<partition_id>(p), clock_.now()))
                 ++status.partitions;
         }
         promise.set_value(std::move(status));
--- a/transport/backend_client.cpp
+++ b/transport/backend_client.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -128,7 +127,7 @@
     static std::size_t read(char* buffer, std::size_t size, std::size_t count, void* self) {
         auto* that = static_cast<transfer*>(self);
         const std::size_t length = std::min(size * count, that->call_.body.size() - that->sent_);
-        std::memcpy(buffer, that->call_.body.data() + that->sent_, length);
+        std::copy_n(that->call_.body.data() + that->sent_, length, buffer);
         that->sent_ += length;
         return length;
     }
