Decode frames in one place for both daemons

Cause: entry and agent daemon had the same 20 lines that decode a frame and close the connection of a malformed one. Before: two copies. After: receive_frame, a template over the two handlers. Seen: whole_path_test, 4 deployment_failure and 3 control_codec tests pass; the other tests were not run again after this change. Conclusion: behaviour unchanged.

--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -1,8 +1,8 @@
 #include "daemon/entry_daemon.h"
 
+#include "daemon/receive_frame.h"
 #include "protocol/fleet_document.h"
 #include "protocol/ip_endpoint.h"
-#include "protocol/task_codec.h"
 #include "state/limits.h"
 #include "transport/logging.h"
 
@@ -149,25 +149,10 @@
 
 void entry_daemon::receive(const std::shared_ptr<peer_session>& session, frame_kind kind,
                            std::string_view payload) {
-    std::string error;
-    if (kind == frame_kind::task) {
-        const auto decoded = decode_task_message(payload);
-        if (const auto* message = std::get_if<task_message>(&decoded))
-            receive_task(*session, *message);
-        else
-            error = std::get<decode_error>(decoded).detail;
-    } else {
-        const auto decoded = session->decoder.decode(kind, payload);
-        if (const auto* message = std::get_if<control_message>(&decoded))
-            receive_control(session, *message);
-        else
-            error = std::get<decode_error>(decoded).detail;
-    }
-    if (error.empty())
-        return;
-    log_event(log_level::warn, component, "closing a connection that sent a malformed frame",
-              {{"detail", error}});
-    session->connection->close("malformed frame");
+    receive_frame(
+        *session, kind, payload, component,
+        [&](const task_message& message) { receive_task(*session, message); },
+        [&](const control_message& message) { receive_control(session, message); });
 }
 
 void entry_daemon::receive_task(peer_session& session, const task_message& message) {
