--- /dev/null
+++ b/coordination/agent_core.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "coordination/agent_limits.h"
+#include "coordination/agent_output.h"
+#include "coordination/backend_announcement.h"
+#include "coordination/backend_clock.h"
+#include "coordination/backend_reply.h"
+#include "coordination/end_acknowledger.h"
+#include "coordination/run_table.h"
+#include "state/agent_profile.h"
+#include "state/incarnation.h"
+#include "state/time.h"
+#include "state/work_message.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// Decides for an agent which orders go to its backend server and what the owners hear of it. The agent is the
+// only caller of the backend server, so it alone guards the capacity, and with the fencing token it turns a
+// start without an answer into a certain "not started". Deterministic and without I/O.
+class agent_core {
+public:
+    agent_core(incarnation self, std::string zone, const agent_limits& limits, time_point now);
+
+    void announced(const backend_announcement& announcement, time_point now);
+    // The backend server says that it ends.
+    void left(const std::string& backend_id, time_point now);
+    void replied(const backend_reply& reply, time_point now);
+
+    void link_opened(link_number link, time_point now);
+    void link_closed(link_number link, time_point now);
+    void received(link_number link, const work_message& message, time_point now);
+
+    // Refuses new runs; those that run may end.
+    void begin_shutdown(time_point now);
+    // Nothing runs, and the owners know of every end.
+    bool is_drained() const;
+
+    void tick(time_point now);
+    // When tick has to be called at the latest.
+    time_point next_wakeup(time_point now) const;
+
+    // What follows from the events since the last call.
+    agent_output take_output(time_point now);
+
+    // Peer addresses of all entries that the connected ones name.
+    std::set<std::string> entry_addresses() const;
+    const std::string& backend_id() const { return backend_.id; }
+    std::size_t active_runs() const { return runs_.active_count(); }
+    std::size_t queued_runs() const { return queue_.size(); }
+
+private:
+    struct link_state {
+        // Names are empty until the entry introduced itself.
+        incarnation process;
+        incarnation session;
+        std::vector<std::string> entry_addresses;
+        std::uint64_t starts_seen = 0;
+        // The room as this entry was told, and when.
+        agent_room told;
+        time_point told_at{};
+        std::vector<run_report> reports;
+    };
+
+    struct owner_state {
+        // 0 while the owner is not connected.
+        link_number link = 0;
+        // When the owner was there for certain.
+        time_point heard{};
+    };
+
+    struct sent_order {
+        backend_order order;
+        time_point sent{};
+    };
+
+    // Messages of entries.
+    void receive(link_number link, const entry_welcome& welcome, time_point now);
+    void receive(link_number link, const owner_pong& pong, time_point now);
+    void receive(link_number link, const start_runs& message, time_point now);
+    void receive(link_number link, const stop_runs& message, time_point now);
+    void receive(link_number link, const ends_recorded& message, time_point now);
+    void receive(link_number link, const owner_succession& message, time_point now);
+    void receive(link_number link, const claim_runs& message, time_point now);
+    template <typename Other> void receive(link_number, const Other&, time_point) {}
+
+    // Answers of the backend server.
+    void start_replied(const sent_order& sent, const backend_reply& reply, time_point now);
+    void stop_replied(const sent_order& sent, const backend_reply& reply, time_point now);
+    void hold_replied(const sent_order& sent, const backend_reply& reply, bool is_raise, time_point now);
+    void take_lists(const sent_order& hold, const backend_reply& reply, time_point now);
+    void take_end(const listed_end& end, time_point now);
+    void take_running(const listed_run& listed, time_point now);
+    void resolve_doubts(const sent_order& hold, const std::set<run_ref>& listed, time_point now);
+    void find_vanished(const sent_order& hold, const std::set<run_ref>& listed, time_point now);
+
+    // Orders to the backend server.
+    std::uint64_t send(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
+                       time_point now);
+    bool has_unclaimed_runs();
+    void start_queued(time_point now);
+    void order_start(run_record& record, time_point now);
+    void order_stop(run_record& record, time_point now);
+    void order_hold(time_point now);
+    void raise_token(time_point now);
+    bool needs_hold() const;
+    bool is_hold_due(time_point now) const;
+
+    void backend_gone(run_refusal reason, time_point now);
+    void fresh_backend(const backend_profile& profile, time_point now);
+    void settle(time_point now);
+    void tell_owners(time_point now);
+    void introduce_runs(link_number link, time_point now);
+    void end_run(run_record& record, run_state state, run_refusal reason, time_point now);
+    void want_stop(run_record& record, run_refusal reason, time_point now);
+    void refuse(const run_ref& run, link_number link, run_refusal reason);
+    void refuse_queued(run_refusal reason, time_point now);
+    std::optional<run_refusal> obstacle() const;
+    bool is_present(const incarnation& owner, bool is_kept, time_point now) const;
+    void check_owners(time_point now);
+    void check_progress(time_point now);
+
+    // Messages to entries.
+    run_report report_of(const run_record& record, time_point now) const;
+    void report(const run_record& record, time_point now);
+    void send_inventory(link_number link, const incarnation& owner, time_point now);
+    void send_profile_if_changed();
+    agent_profile profile() const;
+    agent_room room_for(const link_state& link) const;
+    void flush_reports(time_point now);
+    bool is_zone_out() const;
+
+    void note(std::string_view what, const job_id& job,
+              std::vector<std::pair<std::string_view, decision::value>> inputs, bool is_warning = false);
+
+    incarnation self_;
+    std::string zone_;
+    agent_limits limits_;
+    time_point started_;
+    agent_output output_;
+
+    // The backend server. Empty id while none is known.
+    backend_profile backend_;
+    std::uint64_t last_sequence_ = 0;
+    backend_clock clock_;
+    std::uint64_t token_ = 0;
+    // All older orders are void and the lists were read, so everything that runs is known.
+    bool is_settled_ = false;
+    bool is_silent_ = false;
+    // The owners were told; they may draw conclusions from what the agent does not list.
+    bool are_owners_told_ = false;
+    bool is_shutting_down_ = false;
+    end_acknowledger ends_;
+    // Highest end that the backend server was told and has confirmed.
+    std::uint64_t confirmed_end_ = 0;
+    std::set<run_ref> given_up_;
+    // By then everything has ended whose lease was not renewed since.
+    time_point lease_bound_{};
+
+    run_table runs_;
+    std::deque<run_ref> queue_;
+    std::size_t starts_in_flight_ = 0;
+
+    std::uint64_t last_order_ = 0;
+    std::map<std::uint64_t, sent_order> sent_;
+    // The waiting hold order and the one that raises the token, 0 if none is on its way.
+    std::uint64_t hold_ = 0;
+    std::uint64_t raise_ = 0;
+    time_point next_hold_{};
+    time_point next_raise_{};
+    bool is_raise_wanted_ = false;
+    // Unanswered hold orders in a row.
+    unsigned unanswered_holds_ = 0;
+
+    std::map<link_number, link_state> links_;
+    std::map<incarnation, owner_state> owners_;
+    // Deposed owners with their successors.
+    std::map<incarnation, incarnation> deposed_;
+    std::set<std::string> zones_out_;
+    std::uint64_t zones_version_ = 0;
+    time_point last_ping_{};
+    agent_profile told_profile_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/agent_directory.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "coordination/agent_view.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonstile {
+
+// The agents that an entry has met. Views stay at their place while they are known.
+class agent_directory {
+public:
+    // The view of the agent with this name, made if it is new.
+    agent_view& by_name(const std::string& name);
+    agent_view* by_link(link_number link);
+    agent_view* by_number(agent_number number);
+
+    // Binds the link to the agent. Returns the link that it had before, or 0.
+    link_number connect(agent_view& agent, link_number link);
+    void disconnect(agent_view& agent);
+    void forget(agent_number number);
+
+    std::map<agent_number, agent_view>& all() { return agents_; }
+    const std::map<agent_number, agent_view>& all() const { return agents_; }
+
+private:
+    std::map<agent_number, agent_view> agents_;
+    std::unordered_map<std::string, agent_number> numbers_;
+    std::unordered_map<link_number, agent_number> links_;
+    agent_number last_number_ = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/agent_limits.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "state/time.h"
+
+#include <cstddef>
+
+namespace persimmonstile {
+
+// Figures by which an agent works.
+struct agent_limits {
+    // Longest lease that the backend server grants; a setting of the platform.
+    milliseconds longest_lease{1000};
+    // A waiting hold order is answered after this time at the latest, so that the lease is renewed several
+    // times within its length and stalled tasks are seen.
+    milliseconds hold_wait{150};
+    // A backend server on the same machine answers within a few milliseconds; a slowed agent needs ten times
+    // as long. Raising the token after a false alarm costs one more order.
+    milliseconds order_timeout{60};
+    // Pause before a backend server that does not answer is asked again.
+    milliseconds retry_pause{100};
+    // Start orders that are on their way at the same time. Each needs a connection.
+    std::size_t parallel_starts = 4;
+    // A run that waits longer for room goes back to its owner, which may know a better place.
+    milliseconds queue_patience{120};
+    // Least time between two messages to one entry that only tell the room.
+    milliseconds room_interval{20};
+    // Interval of the pings by which the agent learns that an entry lives.
+    milliseconds ping_interval{300};
+    // Without progress for this long a task counts as stalled. One hundredth of the longest usual task takes
+    // 36 ms, so a healthy task shows progress in between.
+    milliseconds stall_limit{400};
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/backend_clock.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "state/time.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace persimmonstile {
+
+// Estimate of a backend server's clock from the readings in its answers. Answers take time to arrive and the
+// clocks run at rates that differ by up to 2%, so the estimate is good to a few milliseconds while answers
+// come.
+class backend_clock {
+public:
+    void observe(std::int64_t reading_ms, time_point now) {
+        reading_ms_ = reading_ms;
+        read_ = now;
+        is_known_ = true;
+    }
+
+    bool is_known() const { return is_known_; }
+
+    // Milliseconds on the backend server's clock; 0 while it is unknown.
+    std::int64_t at(time_point now) const {
+        if (!is_known_)
+            return 0;
+        return reading_ms_ + std::chrono::duration_cast<milliseconds>(now - read_).count();
+    }
+
+private:
+    std::int64_t reading_ms_ = 0;
+    time_point read_{};
+    bool is_known_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/backend_reply.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "state/run_ref.h"
+#include "state/run_state.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// How a backend server answered an order.
+//   accepted        carried out, or had been already
+//   fenced          refused for its fencing token
+//   old_run         this run, or a higher one of the task, was stopped or has ended there
+//   late            refused because the lease in it had run out
+//   no_room         refused because the task does not fit
+//   unhealthy       refused for now; nothing was done
+//   invalid         the order makes no sense to the backend server
+//   other_instance  another backend server answered
+//   not_sent        the order never reached a backend server
+//   no_answer       may have been carried out, or may be later
+enum class backend_verdict : std::uint8_t {
+    accepted,
+    fenced,
+    old_run,
+    late,
+    no_room,
+    unhealthy,
+    invalid,
+    other_instance,
+    not_sent,
+    no_answer
+};
+
+// A run in the list of those that work.
+struct listed_run {
+    run_ref run;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+};
+
+// A run in the list of those that have ended and are not acknowledged.
+struct listed_end {
+    std::uint64_t number = 0;
+    run_ref run;
+    run_state how = run_state::lapsed;
+    std::string checkpoint;
+};
+
+// The answer to the order with the same id.
+struct backend_reply {
+    std::uint64_t id = 0;
+    backend_verdict verdict = backend_verdict::no_answer;
+    // The backend server's clock when it answered; 0 if the answer does not tell.
+    std::int64_t clock_ms = 0;
+    // Life of the backend server that answered; 0 if the answer does not tell.
+    std::uint64_t life = 0;
+    // Of an accepted hold order only.
+    std::vector<listed_run> running;
+    std::vector<listed_end> ended;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/end_acknowledger.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+
+namespace persimmonstile {
+
+// Works out up to which number the ends of one life of a backend server may be acknowledged. A backend server
+// numbers its ends from 1 and forgets all up to an acknowledged one, so an end is covered only when it and
+// all before it are recorded.
+class end_acknowledger {
+public:
+    // The backend server listed this end; those below the first one that is listed are acknowledged already.
+    void listed(std::uint64_t number) {
+        if (!has_listed_) {
+            has_listed_ = true;
+            acknowledged_ = number - 1;
+            advance();
+        }
+    }
+
+    void recorded(std::uint64_t number) {
+        if (number <= acknowledged_)
+            return;
+        recorded_.insert(number);
+        advance();
+    }
+
+    bool is_recorded(std::uint64_t number) const {
+        return number <= acknowledged_ || recorded_.contains(number);
+    }
+
+    std::uint64_t acknowledged() const { return acknowledged_; }
+
+private:
+    void advance() {
+        while (!recorded_.empty() && *recorded_.begin() <= acknowledged_ + 1) {
+            acknowledged_ = std::max(acknowledged_, *recorded_.begin());
+            recorded_.erase(recorded_.begin());
+        }
+    }
+
+    std::set<std::uint64_t> recorded_;
+    std::uint64_t acknowledged_ = 0;
+    bool has_listed_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/entry_core.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "coordination/agent_directory.h"
+#include "coordination/commit_queue.h"
+#include "coordination/entry_limits.h"
+#include "coordination/entry_output.h"
+#include "coordination/job_ledger.h"
+#include "coordination/job_locator.h"
+#include "coordination/job_submission.h"
+#include "coordination/prefix_view.h"
+#include "coordination/run_planner.h"
+#include "coordination/run_time_model.h"
+#include "coordination/session_keeper.h"
+#include "coordination/succession.h"
+#include "state/clock_source.h"
+#include "state/deployment_config.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonstile {
+
+// Decides for an entry: accepts jobs into the store, places their tasks at agents, records their ends, and
+// takes over the jobs of entries that are gone. Deterministic and without I/O; next_session gives the number
+// of each new session.
+class entry_core {
+public:
+    // The operators' configuration is stored under keys with config_prefix.
+    // process owns the runs of jobs that are not kept.
+    entry_core(incarnation process, member_entry self, const entry_limits& limits,
+               const std::string& config_prefix, std::uint64_t seed,
+               std::function<std::uint64_t()> next_session);
+
+    // The operators' records have changed, or were read for the first time; to be decoded for set_config.
+    bool take_config_change() { return operator_records_.take_change(); }
+    const prefix_view& operator_records() const { return operator_records_; }
+    void set_config(std::shared_ptr<const deployment_config> config, time_point now);
+    const deployment_config* config() const { return config_.get(); }
+
+    // Callers. Each token gets one reply.
+    void submit(const job_submission& request, time_point now, wall_time wall);
+    void ask_state(caller_token token, const job_id& job, time_point answer_by, time_point now);
+    void cancel(caller_token token, const job_id& job, time_point answer_by, time_point now, wall_time wall);
+    // The caller's connection is gone. It gets no reply, and a job that is not kept ends with its last
+    // caller.
+    void caller_left(caller_token token);
+    // Jobs of the queue that were accepted and have not begun, at all entries.
+    std::uint64_t pending(const std::string& queue) const;
+
+    // Connections. A dialed one leads to another entry.
+    void link_opened(link_number link, bool is_dialed, time_point now);
+    void link_closed(link_number link, time_point now);
+    void received(link_number link, const work_message& message, time_point now, wall_time wall);
+
+    void store_replied(std::uint64_t id, const store_reply& reply, time_point now, wall_time wall);
+
+    void tick(time_point now, wall_time wall);
+    time_point next_wakeup(time_point now) const;
+    entry_output take_output(time_point now);
+
+    // New connections are welcome.
+    bool is_ready(time_point now) const;
+    // Takes no new jobs and hands the open ones to the other entries when they have no runs, or at the limit.
+    void begin_shutdown(time_point hand_over_at, time_point now);
+    bool has_left() const { return keeper_.has_left(); }
+    bool is_shutting_down() const { return is_shutting_down_; }
+
+    const incarnation& session() const { return keeper_.session(); }
+    const member_directory& members() const { return keeper_.members(); }
+    std::size_t open_jobs() const { return ledger_.jobs().size(); }
+    // Connected entries and their links.
+    std::map<std::string, link_number> peers() const;
+
+private:
+    struct peer_state {
+        std::string name;
+        incarnation session;
+        std::map<std::string, std::uint64_t> counts;
+    };
+
+    struct ended_job {
+        job_state state = job_state::unknown;
+        time_point at{};
+        // Its record is in the store.
+        bool is_kept = true;
+    };
+
+    // A caller that waits for the end of a job to be written, or for its acceptance.
+    struct waiting_caller {
+        caller_token token = 0;
+        time_point answer_by{};
+        bool is_cancel = false;
+    };
+
+    enum class store_user : std::uint8_t { commits, keeper, locator, operators };
+
+    // Messages.
+    void receive(link_number link, const agent_profile& profile, time_point now);
+    void receive(link_number link, const view_ping& ping, time_point now);
+    void receive(link_number link, const run_reports& message, time_point now);
+    void receive(link_number link, const run_inventory& message, time_point now);
+    void receive(link_number link, const peer_introduction& message, time_point now);
+    void receive(link_number link, const job_question& message, time_point now);
+    void receive(link_number link, const job_answer& message, time_point now);
+    void receive(link_number link, const queue_counts& message, time_point now);
+    template <typename Other> void receive(link_number, const Other&, time_point) {}
+
+    // Agents.
+    void welcome(const agent_view& agent);
+    void welcome_all();
+    std::vector<std::string> entry_addresses() const;
+    void take_room(agent_view& agent, const agent_room& room);
+    void take_report(agent_view& agent, const run_report& report, bool is_own, time_point now);
+    void learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task,
+               time_point now);
+    void task_done(ledger_job& job, const task_ref& task, time_point now);
+    void give_up_unreachable(time_point now);
+    void lose_run(agent_view& agent, const run_ref& run, time_point now);
+    void acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number);
+    void acknowledge_all(ledger_job& job);
+    void claim(agent_view& agent, const run_inventory& orphans, time_point now);
+
+    // Jobs.
+    void end_job(ledger_job& job, job_state state, time_point now);
+    void stop_runs_of(const ledger_job& job);
+    void submit_unkept(const job_submission& request, const queue_policy& queue, time_point now);
+    void finish_unkept(ledger_job& job, job_state state, time_point now);
+    void drop_unkept(const job_id& id);
+    void drop_expired(time_point now);
+    const incarnation& owner_of(const ledger_job& job) const;
+    void write_progress(time_point now);
+    void begin_due_occurrences(time_point now);
+    void committed(const commit_result& result, time_point now);
+    void accept_committed(const commit_result& result, time_point now);
+    void end_committed(const commit_result& result, time_point now);
+    void forget_old(time_point now);
+    void answer_own(const job_locator::own_job& asked, time_point now);
+    void cancel_own(ledger_job& job, caller_token token, time_point answer_by, time_point now);
+    void reply(caller_token token, caller_reply_kind kind, job_state state = job_state::unknown);
+    void refuse(const job_submission& request, submit_refusal reason, milliseconds retry_after);
+    void answer_late(time_point now);
+    bool is_store_failing(time_point now) const;
+    static std::shared_ptr<open_job> make_record(const job_submission& request, const queue_policy& queue,
+                                                 std::int64_t accepted_ms);
+
+    // Placement.
+    void place(time_point now);
+    void send_starts(const std::vector<planned_run>& plan, time_point now);
+
+    // Sessions.
+    void take_adopted(time_point now);
+    void settle_successions(time_point now);
+    void confirm(const std::string& agent, const incarnation& former);
+    void session_lost(time_point now);
+    bool is_owner_certain(time_point now) const;
+    void collect_store_calls(time_point now);
+    void send_counts(time_point now);
+    std::map<std::string, std::uint64_t> own_counts() const;
+
+    void note(std::string_view what, const job_id& job,
+              std::vector<std::pair<std::string_view, decision::value>> inputs, bool is_warning = false);
+
+    incarnation process_;
+    std::string name_;
+    std::string zone_;
+    entry_limits limits_;
+    std::shared_ptr<const deployment_config> config_;
+    session_keeper keeper_;
+    incarnation known_session_;
+    prefix_view operator_records_;
+    commit_queue commits_;
+    job_ledger ledger_;
+    job_locator locator_;
+    agent_directory agents_;
+    run_time_model times_;
+    run_planner planner_;
+    std::map<incarnation, succession> successions_;
+
+    std::map<link_number, peer_state> peers_;
+    std::unordered_map<job_id, ended_job> ended_;
+    std::deque<std::pair<time_point, job_id>> ended_order_;
+    // By job; acceptances and ends.
+    std::unordered_map<job_id, std::vector<waiting_caller>> accepting_;
+    std::unordered_map<job_id, std::vector<waiting_caller>> ending_;
+    // Ends to be acknowledged, by agent and life.
+    std::map<std::pair<agent_number, std::uint64_t>, std::vector<std::uint64_t>> acknowledgements_;
+
+    std::uint64_t last_store_id_ = 0;
+    std::map<std::uint64_t, std::pair<store_user, std::uint64_t>> store_ids_;
+    wall_time wall_{};
+    time_point last_count_{};
+    std::map<std::string, std::uint64_t> told_counts_;
+    // Addresses of the entries as the agents were told.
+    std::vector<std::string> told_addresses_;
+    bool is_plan_needed_ = false;
+    bool is_shutting_down_ = false;
+    time_point hand_over_at_{};
+    entry_output output_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/entry_output.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "coordination/agent_output.h"
+#include "coordination/caller_reply.h"
+#include "coordination/decision.h"
+#include "state/store_call.h"
+#include "state/time.h"
+#include "state/work_message.h"
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+// A call to the store, with the time after which it counts as unanswered.
+struct store_request {
+    std::uint64_t id = 0;
+    store_call call;
+    milliseconds timeout{0};
+};
+
+// What an entry does in consequence of an event.
+struct entry_output {
+    std::vector<store_request> store_calls;
+    std::vector<std::pair<link_number, work_message>> messages;
+    std::vector<caller_reply> replies;
+    std::vector<decision> decisions;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_ledger.cpp
@@ -0,0 +1,179 @@
+#include "coordination/job_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+ledger_job& job_ledger::add(const job_id& job, std::shared_ptr<const open_job> record,
+                            const incarnation& keeper, run_number run_base, time_point now) {
+    ledger_job& added = jobs_[job];
+    added.id = job;
+    added.record = std::move(record);
+    added.keeper = keeper;
+    added.run_base = run_base;
+    added.accepted = now;
+    added.occurrences_left = added.record->plan.occurrence_count();
+    if (added.record->plan.repeat_count == 0) {
+        begin_occurrence(added, 0);
+        added.next_occurrence = 1;
+    }
+    apply_progress(added);
+    return added;
+}
+
+void job_ledger::begin_occurrence(ledger_job& job, std::uint32_t number) {
+    ledger_occurrence& occurrence = job.occurrences[number];
+    for (const job_step& step : job.record->plan.steps) {
+        occurrence.steps.emplace_back(step.task_count);
+        occurrence.remaining.push_back(step.task_count);
+    }
+}
+
+void job_ledger::apply_progress(ledger_job& job) {
+    for (const task_progress& progress : job.record->progress) {
+        ledger_task* task = find_task(job, {job.id, progress.occurrence, progress.step, progress.index});
+        if (task == nullptr)
+            continue;
+        task->failures = progress.failures;
+        task->checkpoint = progress.checkpoint;
+        if (progress.is_done && task->phase != task_phase::done) {
+            task->phase = task_phase::done;
+            --job.occurrences[progress.occurrence].remaining[progress.step];
+        }
+    }
+}
+
+ledger_job* job_ledger::find(const job_id& job) {
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+void job_ledger::erase(const job_id& job) {
+    jobs_.erase(job);
+}
+
+void job_ledger::clear() {
+    jobs_.clear();
+}
+
+ledger_task* job_ledger::find_task(ledger_job& job, const task_ref& task) {
+    const auto occurrence = job.occurrences.find(task.occurrence);
+    if (occurrence == job.occurrences.end() || task.step >= occurrence->second.steps.size())
+        return nullptr;
+    std::vector<ledger_task>& tasks = occurrence->second.steps[task.step];
+    return task.index < tasks.size() ? &tasks[task.index] : nullptr;
+}
+
+report_effect job_ledger::take_report(ledger_job& job, const run_report& report, agent_number agent,
+                                      time_point now) {
+    ledger_task* task = find_task(job, report.run.task);
+    if (task == nullptr || task->phase == task_phase::done)
+        return report_effect::nothing;
+    const run_number run = report.run.run;
+    // A run that this owner did not start is one of a deposed owner; the newest counts.
+    if (task->phase == task_phase::waiting && run > task->run) {
+        task->run = run;
+        task->agent = agent;
+        task->phase = task_phase::placed;
+        task->placed = now;
+    }
+    if (run != task->run || task->agent != agent ||
+        (task->phase != task_phase::placed && task->phase != task_phase::running))
+        return report_effect::nothing;
+    if (!report.checkpoint.empty())
+        task->checkpoint = report.checkpoint;
+    switch (report.state) {
+    case run_state::queued:
+    case run_state::starting:
+        return report_effect::nothing;
+    case run_state::running:
+        if (task->phase == task_phase::running)
+            return report_effect::nothing;
+        task->phase = task_phase::running;
+        task->started = now - report.run_time();
+        return report_effect::started;
+    case run_state::done:
+        task->phase = task_phase::done;
+        --job.occurrences[report.run.task.occurrence].remaining[report.run.task.step];
+        return report_effect::done;
+    case run_state::failed:
+        task->phase = task_phase::waiting;
+        ++task->failures;
+        task->avoided.push_back(agent);
+        return report_effect::failed;
+    case run_state::stopped:
+    case run_state::lapsed:
+    case run_state::broken:
+    case run_state::alone:
+    case run_state::refused:
+        task->phase = task_phase::waiting;
+        task->is_moving = false;
+        if (report.state != run_state::refused || report.reason == run_refusal::unhealthy_backend)
+            task->avoided.push_back(agent);
+        return report_effect::waiting;
+    }
+    return report_effect::nothing;
+}
+
+bool job_ledger::is_ready(const ledger_job& job, const ledger_occurrence& occurrence, std::uint32_t step) {
+    const std::vector<std::uint32_t>& after = job.step(step).after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return earlier < occurrence.remaining.size() && occurrence.remaining[earlier] == 0;
+    });
+}
+
+void job_ledger::for_each_placeable(
+    ledger_job& job,
+    const std::function<void(const task_ref& task, const job_step& step, ledger_task& state)>& visit) {
+    if (job.phase != job_phase::open || !job.is_settled)
+        return;
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.remaining[step] == 0 || !is_ready(job, occurrence, step))
+                continue;
+            std::vector<ledger_task>& tasks = occurrence.steps[step];
+            for (task_index index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].phase == task_phase::waiting)
+                    visit({job.id, number, step, index}, job.step(step), tasks[index]);
+            }
+        }
+    }
+}
+
+std::uint32_t job_ledger::count_placeable(ledger_job& job) {
+    std::uint32_t count = 0;
+    for_each_placeable(job, [&](const task_ref&, const job_step&, ledger_task&) { ++count; });
+    return count;
+}
+
+bool job_ledger::begin_due(ledger_job& job, std::int64_t calendar_ms) {
+    const job_plan& plan = job.record->plan;
+    bool has_begun = false;
+    while (job.next_occurrence < plan.repeat_count &&
+           plan.first_start_ms + job.next_occurrence * plan.interval_ms <= calendar_ms) {
+        begin_occurrence(job, job.next_occurrence);
+        ++job.next_occurrence;
+        has_begun = true;
+    }
+    return has_begun;
+}
+
+std::shared_ptr<const open_job> job_ledger::record_with_progress(const ledger_job& job) {
+    auto record = std::make_shared<open_job>(*job.record);
+    record->progress.clear();
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<ledger_task>& tasks = occurrence.steps[step];
+            for (task_index index = 0; index < tasks.size(); ++index) {
+                const ledger_task& task = tasks[index];
+                if (task.phase == task_phase::done || task.failures > 0 || !task.checkpoint.empty())
+                    record->progress.push_back({number, step, index, task.phase == task_phase::done,
+                                                task.failures, task.checkpoint});
+            }
+        }
+    }
+    return record;
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_ledger.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "coordination/ledger_job.h"
+#include "state/run_report.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonstile {
+
+// What a report meant for a task.
+//   nothing   not about the task's newest run, or nothing new
+//   started   the run was confirmed
+//   done      the task is done
+//   failed    the run ended by its own fault or the backend server's
+//   waiting   the run ended without a result and the task may run again
+enum class report_effect : std::uint8_t { nothing, started, done, failed, waiting };
+
+// The jobs that an entry owns, and what it believes of their tasks. Keeps ended jobs for a while, because
+// callers ask for them.
+class job_ledger {
+public:
+    // The job must be unknown.
+    ledger_job& add(const job_id& job, std::shared_ptr<const open_job> record, const incarnation& keeper,
+                    run_number run_base, time_point now);
+    ledger_job* find(const job_id& job);
+    void erase(const job_id& job);
+    void clear();
+
+    // Null if the job has no such task.
+    static ledger_task* find_task(ledger_job& job, const task_ref& task);
+
+    // Takes what an agent reports of a run.
+    static report_effect take_report(ledger_job& job, const run_report& report, agent_number agent,
+                                     time_point now);
+
+    // The tasks of the step may run: earlier steps are done.
+    static bool is_ready(const ledger_job& job, const ledger_occurrence& occurrence, std::uint32_t step);
+    // Calls visit for each waiting task that may be placed.
+    static void for_each_placeable(
+        ledger_job& job,
+        const std::function<void(const task_ref& task, const job_step& step, ledger_task& state)>& visit);
+    static std::uint32_t count_placeable(ledger_job& job);
+
+    // Begins the occurrences that are due at this calendar time. True if there was one.
+    static bool begin_due(ledger_job& job, std::int64_t calendar_ms);
+
+    // The record with the progress so far.
+    static std::shared_ptr<const open_job> record_with_progress(const ledger_job& job);
+
+    std::unordered_map<job_id, ledger_job>& jobs() { return jobs_; }
+    const std::unordered_map<job_id, ledger_job>& jobs() const { return jobs_; }
+
+private:
+    static void begin_occurrence(ledger_job& job, std::uint32_t number);
+    static void apply_progress(ledger_job& job);
+
+    std::unordered_map<job_id, ledger_job> jobs_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_locator.cpp
@@ -0,0 +1,132 @@
+#include "coordination/job_locator.h"
+
+#include <algorithm>
+
+namespace persimmonstile {
+
+namespace {
+
+// An owner answers within a few milliseconds. Without an answer the store is asked again, because the job may
+// have another owner by now.
+constexpr milliseconds answer_patience{250};
+constexpr milliseconds retry_pause{60};
+
+// Remembered owners; a day's jobs of one entry.
+constexpr std::size_t most_owners = 20000;
+
+} // namespace
+
+void job_locator::ask(caller_token token, const job_id& job, bool is_cancel, time_point answer_by,
+                      time_point now) {
+    const std::uint64_t id = ++last_id_;
+    lookup& pending = lookups_[id];
+    pending.token = token;
+    pending.job = job;
+    pending.is_cancel = is_cancel;
+    pending.answer_by = answer_by;
+    start(id, pending, now);
+}
+
+void job_locator::start(std::uint64_t id, lookup& pending, time_point now) {
+    pending.asked = now;
+    pending.again = now + answer_patience;
+    const auto known = owners_.find(pending.job);
+    if (known == owners_.end())
+        reads_.push_back({id, pending.job});
+    else
+        questions_.emplace_back(known->second, job_question{id, pending.job, pending.is_cancel});
+}
+
+void job_locator::reply(const lookup& pending, caller_reply_kind kind, job_state state) {
+    replies_.push_back({pending.token, kind, state, submit_refusal::none, milliseconds{0}});
+}
+
+void job_locator::read_replied(std::uint64_t id, const store_reply& answer, const member_directory& members,
+                               const incarnation& self, time_point now) {
+    const auto found = lookups_.find(id);
+    if (found == lookups_.end())
+        return;
+    lookup& pending = found->second;
+    if (std::holds_alternative<item_missing>(answer)) {
+        reply(pending, caller_reply_kind::gone, job_state::unknown);
+        lookups_.erase(found);
+        return;
+    }
+    const auto* item = std::get_if<item_found>(&answer);
+    const auto* status = item != nullptr ? std::get_if<job_status>(&item->item.value) : nullptr;
+    if (status == nullptr) {
+        pending.again = now + retry_pause;
+        return;
+    }
+    if (is_final(status->state)) {
+        reply(pending, pending.is_cancel ? caller_reply_kind::cancelled : caller_reply_kind::state,
+              status->state);
+        lookups_.erase(found);
+        return;
+    }
+    const std::optional<incarnation> owner = members.owner_of(status->owner);
+    if (owner && *owner == self) {
+        own_.push_back({pending.token, pending.job, pending.is_cancel, pending.answer_by});
+        lookups_.erase(found);
+        return;
+    }
+    if (!owner) {
+        // The owner is gone and its jobs are not adopted yet. Accepted it is, whatever has begun.
+        if (pending.is_cancel) {
+            pending.again = now + retry_pause;
+        } else {
+            reply(pending, caller_reply_kind::state, job_state::queued);
+            lookups_.erase(found);
+        }
+        return;
+    }
+    if (owners_.size() >= most_owners)
+        owners_.clear();
+    owners_[pending.job] = *owner;
+    start(id, pending, now);
+}
+
+void job_locator::answered(const job_answer& answer, time_point now) {
+    const auto found = lookups_.find(answer.token);
+    if (found == lookups_.end())
+        return;
+    lookup& pending = found->second;
+    if (!answer.is_known) {
+        // The remembered owner has lost the job.
+        owners_.erase(pending.job);
+        pending.again = now + retry_pause;
+        return;
+    }
+    const bool is_cancelled = pending.is_cancel && is_final(answer.state);
+    if (pending.is_cancel && !is_cancelled)
+        return;
+    reply(pending, is_cancelled ? caller_reply_kind::cancelled : caller_reply_kind::state, answer.state);
+    lookups_.erase(found);
+}
+
+void job_locator::tick(time_point now) {
+    for (auto it = lookups_.begin(); it != lookups_.end();) {
+        lookup& pending = it->second;
+        if (now >= pending.answer_by) {
+            reply(pending, caller_reply_kind::uncertain, job_state::unknown);
+            it = lookups_.erase(it);
+            continue;
+        }
+        if (now >= pending.again) {
+            owners_.erase(pending.job);
+            start(it->first, pending, now);
+        }
+        ++it;
+    }
+}
+
+std::optional<time_point> job_locator::next_wakeup() const {
+    std::optional<time_point> next;
+    for (const auto& [id, pending] : lookups_) {
+        const time_point due = std::min(pending.again, pending.answer_by);
+        next = next ? std::min(*next, due) : due;
+    }
+    return next;
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/job_locator.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "coordination/caller_reply.h"
+#include "coordination/member_directory.h"
+#include "state/ids.h"
+#include "state/incarnation.h"
+#include "state/job_answer.h"
+#include "state/job_question.h"
+#include "state/store_reply.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+// Answers callers that ask for jobs of other entries: finds the owner in the store, asks it, and passes its
+// answer on.
+class job_locator {
+public:
+    struct read {
+        std::uint64_t id = 0;
+        job_id job;
+    };
+
+    // A caller asks for the state of a job or wants it cancelled.
+    void ask(caller_token token, const job_id& job, bool is_cancel, time_point answer_by, time_point now);
+
+    void read_replied(std::uint64_t id, const store_reply& reply, const member_directory& members,
+                      const incarnation& self, time_point now);
+    void answered(const job_answer& answer, time_point now);
+    // Asks again whose answer is missing, and gives up on those that the callers do not wait for any longer.
+    void tick(time_point now);
+
+    std::vector<read> take_reads() { return std::exchange(reads_, {}); }
+    // Questions for the owners of jobs.
+    std::vector<std::pair<incarnation, job_question>> take_questions() {
+        return std::exchange(questions_, {});
+    }
+    std::vector<caller_reply> take_replies() { return std::exchange(replies_, {}); }
+    // Jobs that turned out to belong to this entry, with the callers that asked for them.
+    struct own_job {
+        caller_token token = 0;
+        job_id job;
+        bool is_cancel = false;
+        time_point answer_by{};
+    };
+    std::vector<own_job> take_own() { return std::exchange(own_, {}); }
+    std::optional<time_point> next_wakeup() const;
+
+private:
+    struct lookup {
+        caller_token token = 0;
+        job_id job;
+        bool is_cancel = false;
+        time_point answer_by{};
+        time_point asked{};
+        // The step is taken again at this time if no answer comes.
+        time_point again{};
+    };
+
+    void start(std::uint64_t id, lookup& pending, time_point now);
+    void reply(const lookup& pending, caller_reply_kind kind, job_state state);
+
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, lookup> lookups_;
+    // Owners found before, so that the next question needs no call to the store.
+    std::unordered_map<job_id, incarnation> owners_;
+    std::vector<read> reads_;
+    std::vector<std::pair<incarnation, job_question>> questions_;
+    std::vector<caller_reply> replies_;
+    std::vector<own_job> own_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/ledger_job.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "coordination/ledger_task.h"
+#include "state/incarnation.h"
+#include "state/job_state.h"
+#include "state/open_job.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace persimmonstile {
+
+// How far a job's records are.
+//   accepting  its record is being written; nothing may start
+//   open       its record is in the store
+//   ending     its end is being written
+//   ended      its end is in the store
+enum class job_phase : std::uint8_t { accepting, open, ending, ended };
+
+// A listed end of a run, to be acknowledged once what follows from it is in the store.
+struct unrecorded_end {
+    agent_number agent = 0;
+    std::uint64_t backend_life = 0;
+    std::uint64_t number = 0;
+    time_point reported{};
+};
+
+// The tasks of one occurrence of a job, by step.
+struct ledger_occurrence {
+    std::vector<std::vector<ledger_task>> steps;
+    // Tasks of each step that are not done.
+    std::vector<std::uint32_t> remaining;
+};
+
+// A job that this entry owns.
+struct ledger_job {
+    job_id id;
+    std::shared_ptr<const open_job> record;
+    // Of a job that is not kept: its caller waits until then.
+    time_point answer_by = time_point::max();
+    // Session under which the record is kept.
+    incarnation keeper;
+    std::uint64_t revision = 0;
+    // Run numbers of this owner are above it.
+    run_number run_base = 0;
+    job_phase phase = job_phase::accepting;
+    // All runs that a deposed owner of the job may have started are known or certainly over. Before that no
+    // task may be placed.
+    bool is_settled = true;
+    // Final once the end was decided.
+    job_state state = job_state::queued;
+    std::map<std::uint32_t, ledger_occurrence> occurrences;
+    // Occurrences that are done or running; later ones are not due yet.
+    std::uint32_t next_occurrence = 0;
+    std::uint32_t occurrences_left = 0;
+    std::vector<unrecorded_end> unrecorded;
+    // A record with progress is on its way to the store, made at this time.
+    bool is_progress_written = false;
+    time_point progress_made{};
+    time_point accepted{};
+    time_point ended{};
+
+    bool is_kept() const { return record->plan.is_kept; }
+    const job_step& step(std::uint32_t number) const { return record->plan.steps[number]; }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/ledger_task.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "state/run_ref.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// What the owner of a job believes of one task.
+//   waiting    may be placed once its step is ready
+//   placed     given to an agent
+//   running    the agent has confirmed the start
+//   done       ended with success
+enum class task_phase : std::uint8_t { waiting, placed, running, done };
+
+// Numbers an agent within one entry process.
+using agent_number = std::uint32_t;
+
+struct ledger_task {
+    task_phase phase = task_phase::waiting;
+    // The newest run; 0 before the first one.
+    run_number run = 0;
+    // Of the newest run, while it is placed or running.
+    agent_number agent = 0;
+    std::uint32_t failures = 0;
+    time_point placed{};
+    time_point started{};
+    std::string checkpoint;
+    // Agents where a run of the task ended badly; others are preferred.
+    std::vector<agent_number> avoided;
+    // The run is being stopped, so that the task can run elsewhere.
+    bool is_moving = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/prefix_view.cpp
@@ -0,0 +1,105 @@
+#include "coordination/prefix_view.h"
+
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// A listing is short; the store may be slow.
+constexpr milliseconds list_timeout{600};
+// Beyond the wait of a watch: the way and a slow store.
+constexpr milliseconds watch_slack{400};
+constexpr milliseconds failure_pause{60};
+
+} // namespace
+
+prefix_view::prefix_view(std::string prefix, milliseconds watch_wait)
+    : prefix_{std::move(prefix)}
+    , watch_wait_{watch_wait} {}
+
+std::vector<prefix_view::call> prefix_view::take_calls(time_point now) {
+    std::vector<call> calls;
+    if (waiting_for_ != 0 || now < not_before_)
+        return calls;
+    waiting_for_ = ++last_id_;
+    sent_ = now;
+    if (is_listed_)
+        calls.push_back(
+            {last_id_, store_watch{prefix_, revision_, watch_wait_.count()}, watch_wait_ + watch_slack});
+    else
+        calls.push_back({last_id_, store_list{prefix_, listing_after_}, list_timeout});
+    return calls;
+}
+
+void prefix_view::replied(std::uint64_t id, const store_reply& reply, time_point now) {
+    if (id != waiting_for_)
+        return;
+    waiting_for_ = 0;
+    if (std::holds_alternative<store_failure>(reply)) {
+        not_before_ = now + failure_pause;
+        return;
+    }
+    if (std::holds_alternative<history_lost>(reply)) {
+        is_listed_ = false;
+        return;
+    }
+    if (const auto* page = std::get_if<item_listing>(&reply)) {
+        listed(*page, now);
+        return;
+    }
+    if (const auto* changes = std::get_if<item_changes>(&reply)) {
+        for (const store_item& item : changes->items)
+            apply(item);
+        has_changed_ = has_changed_ || !changes->items.empty();
+        revision_ = std::max(revision_, changes->revision);
+        confirmed_ = sent_;
+    }
+}
+
+void prefix_view::listed(const item_listing& page, time_point) {
+    if (listing_after_.empty()) {
+        listing_.clear();
+        listing_revision_ = page.revision;
+    }
+    listing_.insert(listing_.end(), page.items.begin(), page.items.end());
+    if (page.has_more && !page.items.empty()) {
+        listing_after_ = page.items.back().key;
+        return;
+    }
+    listing_after_.clear();
+    // A listing that is older than what was seen must not undo it.
+    if (listing_revision_ < revision_)
+        return;
+    items_.clear();
+    for (const store_item& item : listing_)
+        items_[item.key] = item;
+    listing_.clear();
+    revision_ = listing_revision_;
+    is_listed_ = true;
+    is_known_ = true;
+    has_changed_ = true;
+    confirmed_ = sent_;
+}
+
+void prefix_view::apply(const store_item& item) {
+    if (item.revision == 0) {
+        items_.erase(item.key);
+        return;
+    }
+    store_item& known = items_[item.key];
+    if (item.revision >= known.revision)
+        known = item;
+}
+
+std::optional<time_point> prefix_view::next_wakeup() const {
+    if (waiting_for_ != 0)
+        return std::nullopt;
+    return not_before_;
+}
+
+bool prefix_view::take_change() {
+    return std::exchange(has_changed_, false);
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/prefix_view.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "state/store_call.h"
+#include "state/store_reply.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// A copy of all keys with one prefix, kept up to date by a watch. A revision that was seen is never replaced
+// by an older one. Deterministic and without I/O.
+class prefix_view {
+public:
+    struct call {
+        std::uint64_t id = 0;
+        store_call what;
+        milliseconds timeout{0};
+    };
+
+    // A watch waits for this long at the store; a connection that has gone silent is noticed soon after.
+    prefix_view(std::string prefix, milliseconds watch_wait);
+
+    std::vector<call> take_calls(time_point now);
+    void replied(std::uint64_t id, const store_reply& reply, time_point now);
+    std::optional<time_point> next_wakeup() const;
+
+    const std::map<std::string, store_item>& items() const { return items_; }
+    // Revision of the store at which the items are as they are here.
+    std::uint64_t revision() const { return revision_; }
+    // True once after each change of the items, the first listing included.
+    bool take_change();
+    // Whether the items were listed, and when the store last confirmed that they are current.
+    bool is_known() const { return is_known_; }
+    time_point confirmed() const { return confirmed_; }
+
+private:
+    void listed(const item_listing& page, time_point now);
+    void apply(const store_item& item);
+
+    std::string prefix_;
+    milliseconds watch_wait_;
+    std::map<std::string, store_item> items_;
+    std::vector<store_item> listing_;
+    std::string listing_after_;
+    std::uint64_t listing_revision_ = 0;
+    std::uint64_t revision_ = 0;
+    bool is_listed_ = false;
+    bool is_known_ = false;
+    bool has_changed_ = false;
+    std::uint64_t last_id_ = 0;
+    // Of the call on its way; 0 for none.
+    std::uint64_t waiting_for_ = 0;
+    time_point sent_{};
+    time_point not_before_{};
+    time_point confirmed_{};
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/round_trip_estimate.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "state/time.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace persimmonstile {
+
+// Time to wait for an answer before the call is repeated: from the mean and the deviation of past answers, as
+// TCP does (RFC 6298), doubled after each missing answer.
+class round_trip_estimate {
+public:
+    round_trip_estimate(milliseconds first, milliseconds shortest, milliseconds longest)
+        : shortest_{shortest}
+        , longest_{longest}
+        , timeout_{first} {}
+
+    milliseconds timeout() const { return std::clamp(timeout_, shortest_, longest_); }
+
+    void answered(std::chrono::nanoseconds elapsed) {
+        const double sample = std::chrono::duration<double, std::milli>{elapsed}.count();
+        if (!has_sample_) {
+            mean_ = sample;
+            deviation_ = sample / 2;
+            has_sample_ = true;
+        } else {
+            deviation_ += (std::abs(sample - mean_) - deviation_) / 4;
+            mean_ += (sample - mean_) / 8;
+        }
+        timeout_ = std::chrono::ceil<milliseconds>(
+            std::chrono::duration<double, std::milli>{mean_ + 4 * deviation_});
+    }
+
+    void missing() { timeout_ = std::min(timeout() * 2, longest_); }
+
+private:
+    milliseconds shortest_;
+    milliseconds longest_;
+    milliseconds timeout_;
+    double mean_ = 0;
+    double deviation_ = 0;
+    bool has_sample_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/run_planner.cpp
@@ -0,0 +1,147 @@
+#include "coordination/run_planner.h"
+
+#include "coordination/queue_router.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <tuple>
+
+namespace persimmonstile {
+
+namespace {
+
+// Time that an order and its report need beyond the run: within a zone, and added between zones.
+constexpr double local_way_seconds = 0.002;
+constexpr double remote_way_seconds = 0.003;
+
+// Entries that see the same room must not all prefer the same backend server of several equal ones.
+constexpr double cost_jitter = 0.04;
+
+// A backend server where this task ended badly is the last choice.
+constexpr double avoided_factor = 4;
+
+// A task runs longer on another rack than that of its data.
+constexpr double remote_data_factor = 1.5;
+
+// How much a job is still worth: in time, late, or too late for anybody.
+enum class worth : std::uint8_t { in_time, late, none };
+
+worth worth_of(const job_target& target, time_point now) {
+    if (now + target.chain <= target.in_time)
+        return worth::in_time;
+    return now + target.chain <= target.useful ? worth::late : worth::none;
+}
+
+bool has_label(const agent_view& agent, const std::string& label) {
+    const std::vector<std::string>& labels = agent.profile.backend.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool is_same_step(const task_ref& left, const task_ref& right) {
+    return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+}
+
+// Tasks of the step that run at the agent or are planned for it.
+std::size_t count_of_step(const agent_view& agent, const task_ref& step,
+                          const std::vector<planned_run>& planned) {
+    const auto running = std::count_if(agent.runs.begin(), agent.runs.end(),
+                                       [&](const run_ref& run) { return is_same_step(run.task, step); });
+    const auto chosen = std::count_if(planned.begin(), planned.end(), [&](const planned_run& run) {
+        return run.agent == agent.number && is_same_step(run.task, step);
+    });
+    return static_cast<std::size_t>(running + chosen);
+}
+
+} // namespace
+
+bool run_planner::is_usable(const agent_view& agent, const std::string& service,
+                            const deployment_config& config, time_point now) {
+    return agent.link != 0 && agent.is_introduced && agent.profile.accepts_runs &&
+           agent.profile.backend.service == service && now >= agent.avoided_until &&
+           !config.zones_out.contains(agent.profile.backend.zone);
+}
+
+std::vector<planned_run> run_planner::plan(std::vector<ledger_job*> waiting, agent_directory& agents,
+                                           const run_time_model& times, const deployment_config& config,
+                                           time_point now) {
+    struct candidate {
+        ledger_job* job;
+        worth value;
+        time_point due;
+    };
+    std::vector<candidate> order;
+    order.reserve(waiting.size());
+    for (ledger_job* job : waiting) {
+        const job_target target = times.target_of(*job, find_queue_named(config, job->record->queue));
+        const worth value = worth_of(target, now);
+        order.push_back({job, value, value == worth::in_time ? target.in_time : target.useful});
+    }
+    std::sort(order.begin(), order.end(), [](const candidate& left, const candidate& right) {
+        return std::tie(left.value, left.due, left.job->id) < std::tie(right.value, right.due, right.job->id);
+    });
+
+    std::vector<planned_run> result;
+    room_.clear();
+    std::map<std::string, std::vector<agent_view*>> usable;
+    for (const candidate& next : order) {
+        const std::string& service = next.job->record->service;
+        const auto [found, is_new] = usable.try_emplace(service);
+        if (is_new)
+            found->second = usable_agents(agents, service, config, now);
+        job_ledger::for_each_placeable(
+            *next.job, [&](const task_ref& task, const job_step& step, ledger_task& state) {
+                const double seconds = times.expected_seconds(next.job->record->queue, step.estimate());
+                if (agent_view* agent = choose(*next.job, task, state, seconds, found->second, result)) {
+                    room_[agent->number] -= step.task_needs;
+                    result.push_back({task, agent->number});
+                }
+            });
+    }
+    return result;
+}
+
+// The agents that may get a run now, with their room noted.
+std::vector<agent_view*> run_planner::usable_agents(agent_directory& agents, const std::string& service,
+                                                    const deployment_config& config, time_point now) {
+    std::vector<agent_view*> result;
+    for (auto& [number, agent] : agents.all()) {
+        if (!is_usable(agent, service, config, now))
+            continue;
+        result.push_back(&agent);
+        room_[number] = agent.free();
+    }
+    return result;
+}
+
+// The backend server with room that is expected to finish the task first; null if there is none.
+agent_view* run_planner::choose(const ledger_job& job, const task_ref& task, const ledger_task& state,
+                                double seconds, const std::vector<agent_view*>& usable,
+                                const std::vector<planned_run>& planned) {
+    const job_step& step = job.step(task.step);
+    std::uniform_real_distribution<double> jitter{1.0, 1.0 + cost_jitter};
+    agent_view* best = nullptr;
+    double best_cost = 0;
+    for (agent_view* agent : usable) {
+        if (!step.task_needs.fits_in(room_[agent->number]))
+            continue;
+        if (job.is_kept() && !is_usable_for_kept(*agent))
+            continue;
+        if (!step.required_label.empty() && !has_label(*agent, step.required_label))
+            continue;
+        if (step.max_per_backend > 0 && count_of_step(*agent, task, planned) >= step.max_per_backend)
+            continue;
+        double cost = seconds * agent->slowness.value_or(1.0) * jitter(random_);
+        if (!step.data_rack.empty() && step.data_rack != agent->profile.backend.rack)
+            cost *= remote_data_factor;
+        if (std::find(state.avoided.begin(), state.avoided.end(), agent->number) != state.avoided.end())
+            cost *= avoided_factor;
+        cost += local_way_seconds + (agent->profile.zone == zone_ ? 0 : remote_way_seconds);
+        if (best == nullptr || cost < best_cost) {
+            best = agent;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/run_planner.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "coordination/agent_directory.h"
+#include "coordination/job_ledger.h"
+#include "coordination/run_time_model.h"
+#include "state/deployment_config.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// A task and the agent that is to run it.
+struct planned_run {
+    task_ref task;
+    agent_number agent = 0;
+};
+
+// Decides which waiting tasks go where. Orders jobs by what their completion is still worth, and chooses for
+// each task the backend server that is expected to finish it first.
+class run_planner {
+public:
+    run_planner(std::string zone, std::uint64_t seed)
+        : zone_{std::move(zone)}
+        , random_{seed} {}
+
+    // Places what can be placed now. The needs of placed tasks are taken from the agents' room by the caller.
+    std::vector<planned_run> plan(std::vector<ledger_job*> waiting, agent_directory& agents,
+                                  const run_time_model& times, const deployment_config& config,
+                                  time_point now);
+
+    // Whether the agent may get a run of the service now, apart from its room.
+    static bool is_usable(const agent_view& agent, const std::string& service,
+                          const deployment_config& config, time_point now);
+    // Whether the agent may get runs of kept jobs, so that a successor would find them.
+    static bool is_usable_for_kept(const agent_view& agent) {
+        return agent.is_session_introduced && agent.is_recorded;
+    }
+
+private:
+    std::vector<agent_view*> usable_agents(agent_directory& agents, const std::string& service,
+                                           const deployment_config& config, time_point now);
+    agent_view* choose(const ledger_job& job, const task_ref& task, const ledger_task& state, double seconds,
+                       const std::vector<agent_view*>& usable, const std::vector<planned_run>& planned);
+
+    std::string zone_;
+    std::mt19937_64 random_;
+    // Room of the usable agents while a plan is made.
+    std::map<agent_number, resources> room_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/run_table.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coordination/run_record.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace persimmonstile {
+
+// The runs that an agent knows, with the sums of their needs.
+class run_table {
+public:
+    run_record* find(const run_ref& run);
+    // The run must be unknown.
+    run_record& add(run_record record);
+    void set_state(run_record& record, run_state state);
+    void erase(const run_ref& run);
+
+    // Needs of the runs that hold room, and of those that wait for it.
+    const resources& held() const { return held_; }
+    const resources& queued() const { return queued_; }
+    // Runs that hold room.
+    std::size_t active_count() const { return active_count_; }
+    std::size_t size() const { return records_.size(); }
+
+    // The visitor must not add or erase records.
+    void for_each(const std::function<void(run_record&)>& visit);
+
+private:
+    void count(const run_record& record, std::int64_t sign);
+
+    std::map<run_ref, run_record> records_;
+    resources held_;
+    resources queued_;
+    std::size_t active_count_ = 0;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/run_time_model.cpp
@@ -0,0 +1,61 @@
+#include "coordination/run_time_model.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace persimmonstile {
+
+namespace {
+
+// Run time of a task whose caller gave no estimate.
+constexpr double unknown_seconds = 0.2;
+
+// A completion is worth less beyond its objective, and nothing beyond this multiple of it.
+constexpr int useful_multiple = 3;
+
+double seconds_of(milliseconds time) {
+    return std::chrono::duration<double>{time}.count();
+}
+
+} // namespace
+
+void run_time_model::observe(const std::string& queue, milliseconds estimate,
+                             std::chrono::microseconds run_time, double slowness) {
+    const double expected = estimate.count() > 0 ? seconds_of(estimate) : unknown_seconds;
+    const double measured = std::chrono::duration<double>{run_time}.count();
+    if (measured <= 0 || slowness <= 0)
+        return;
+    ratios_[queue].observe(measured / slowness / expected, 1.0);
+}
+
+double run_time_model::expected_seconds(const std::string& queue, milliseconds estimate) const {
+    const double base = estimate.count() > 0 ? seconds_of(estimate) : unknown_seconds;
+    const auto found = ratios_.find(queue);
+    return found == ratios_.end() ? base : base * found->second.value_or(1.0);
+}
+
+job_target run_time_model::target_of(const ledger_job& job, const queue_policy* queue) const {
+    std::vector<double> ends;
+    double longest = 0;
+    for (const job_step& step : job.record->plan.steps) {
+        double begin = 0;
+        for (const std::uint32_t earlier : step.after) {
+            if (earlier < ends.size())
+                begin = std::max(begin, ends[earlier]);
+        }
+        ends.push_back(begin + expected_seconds(job.record->queue, step.estimate()));
+        longest = std::max(longest, ends.back());
+    }
+    const double stretch = queue != nullptr ? queue->stretch : 1.0;
+    const milliseconds slack = queue != nullptr ? queue->slack : milliseconds{0};
+    const auto objective =
+        std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>{stretch * longest}) +
+        slack;
+    job_target target;
+    target.chain = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{longest});
+    target.in_time = job.accepted + objective;
+    target.useful = job.accepted + useful_multiple * objective;
+    return target;
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/session_keeper.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "coordination/decision.h"
+#include "coordination/member_directory.h"
+#include "coordination/round_trip_estimate.h"
+#include "state/incarnation.h"
+#include "state/store_call.h"
+#include "state/store_reply.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// Keeps an entry's session: its record in the store, its life sign under a lease, the watch of the members,
+// and the adoption of the jobs of sessions that are gone. Deterministic and without I/O.
+class session_keeper {
+public:
+    struct call {
+        std::uint64_t id = 0;
+        store_call what;
+        milliseconds timeout{0};
+    };
+
+    // A session whose open jobs now belong to this one, with the records of these jobs.
+    struct adopted_jobs {
+        adoption record;
+        // The process of the former session may still act until it notices that it is deposed.
+        bool may_live = false;
+        std::vector<store_item> jobs;
+    };
+
+    // next_number gives the number of each new session.
+    session_keeper(member_entry self, std::function<std::uint64_t()> next_number, std::uint64_t seed);
+
+    // Sessions that are connected to this process are not adopted.
+    void set_connected(std::set<incarnation> sessions) { connected_ = std::move(sessions); }
+
+    void replied(std::uint64_t id, const store_reply& reply, time_point now);
+    // A write under this session showed that it is deposed.
+    void deposed(time_point now);
+    // Hands the jobs to the other entries. finished: there are none.
+    void leave(bool finished, time_point now);
+    bool has_left() const { return phase_ == phase::left; }
+
+    // Records agents that are connected and not in the directory.
+    void need_agents(const std::vector<member_agent>& agents, time_point now);
+    // The jobs of an adopted session have all ended; its record is not needed any more.
+    void adoption_done(const incarnation& former, time_point now);
+
+    std::vector<call> take_calls(time_point now);
+    std::vector<adopted_jobs> take_adopted() { return std::exchange(adopted_, {}); }
+    std::vector<decision> take_decisions() { return std::exchange(decisions_, {}); }
+    time_point next_wakeup(time_point now) const;
+
+    // The name is empty while there is no session.
+    const incarnation& session() const { return session_; }
+    std::uint64_t entry_revision() const { return entry_revision_; }
+    const member_directory& members() const { return members_; }
+    // Last answer of the store, whatever it said.
+    time_point last_contact() const { return last_contact_; }
+
+private:
+    enum class phase : std::uint8_t { listing, claiming, active, leaving, left };
+    enum class purpose : std::uint8_t {
+        list,
+        claim,
+        watch,
+        open_lease,
+        renew_lease,
+        sign,
+        adopt,
+        jobs,
+        agents,
+        forget,
+        leave
+    };
+
+    struct sent_call {
+        purpose why = purpose::list;
+        time_point sent{};
+        // Of an adoption or the listing of its jobs.
+        incarnation former;
+    };
+
+    struct pending_adoption {
+        adopted_jobs result;
+        std::string after_key;
+        bool is_listing = false;
+    };
+
+    std::uint64_t send(purpose why, store_call what, milliseconds timeout, time_point now,
+                       const incarnation& former = {});
+    bool is_waiting_for(purpose why) const;
+    milliseconds timeout() const { return round_trip_.timeout(); }
+    void failed(const sent_call& call, const store_failure& failure, time_point now);
+
+    void list(time_point now);
+    void listed(const item_listing& page, time_point now);
+    void claim(time_point now);
+    void claimed(const store_reply& reply, time_point now);
+    void watch(time_point now);
+    void watched(const store_reply& reply, time_point now);
+    void keep_alive(time_point now);
+    void sign(time_point now);
+    void look_for_orphans(time_point now);
+    void adopt(const incarnation& former, bool may_live, time_point now);
+    void adoption_replied(const incarnation& former, const store_reply& reply, time_point now);
+    void list_jobs(const incarnation& former, time_point now);
+    void jobs_listed(const incarnation& former, const store_reply& reply, time_point now);
+    void record_agents(time_point now);
+    void restart(time_point now);
+    void note(std::string_view what, std::vector<std::pair<std::string_view, decision::value>> inputs,
+              bool is_warning = false);
+
+    member_entry self_;
+    std::function<std::uint64_t()> next_number_;
+    std::uint64_t rank_;
+    phase phase_ = phase::listing;
+    incarnation session_;
+    std::uint64_t entry_revision_ = 0;
+    // The session that is being claimed, and the adoptions that go with it.
+    incarnation candidate_;
+    std::vector<adoption> candidate_adoptions_;
+
+    member_directory members_;
+    std::vector<store_item> listing_;
+    std::uint64_t listing_revision_ = 0;
+    std::string listing_after_;
+    std::uint64_t watch_revision_ = 0;
+    bool is_view_current_ = false;
+
+    std::uint64_t lease_ = 0;
+    bool is_signed_ = false;
+    time_point next_renewal_{};
+
+    std::set<incarnation> connected_;
+    std::map<incarnation, pending_adoption> pending_;
+    std::vector<adopted_jobs> adopted_;
+    std::map<std::string, member_agent> needed_agents_;
+    std::vector<member_agent> recording_;
+    // Former sessions whose jobs were taken over already.
+    std::set<incarnation> loaded_;
+
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, sent_call> sent_;
+    std::vector<call> calls_;
+    std::vector<decision> decisions_;
+    round_trip_estimate round_trip_;
+    time_point last_contact_{};
+    // Since when the store has answered without a failure.
+    time_point answering_since_{};
+    std::optional<time_point> failing_since_;
+    time_point not_before_{};
+    bool is_leave_wanted_ = false;
+    bool leaves_finished_ = false;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/durable_agent.cpp
@@ -0,0 +1,131 @@
+#include "daemon/durable_agent.h"
+
+#include "coordination/store_keys.h"
+#include "daemon/log_decision.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "agent";
+
+// Timers fire late rather than early; shorter waits would only cost wake-ups.
+constexpr milliseconds shortest_wait{1};
+
+// Without any entry the store is asked for them this often.
+constexpr milliseconds listing_interval{300};
+constexpr milliseconds listing_timeout{500};
+
+incarnation make_incarnation(const std::string& name) {
+    std::random_device source;
+    return {name, (std::uint64_t{source()} << 32U | source()) >> 1U};
+}
+
+} // namespace
+
+durable_agent::durable_agent(asio::io_context& context, const daemon_settings& settings,
+                             const agent_limits& limits, const clock_source& clock, ports outside)
+    : clock_{clock}
+    , outside_{std::move(outside)}
+    , core_{make_incarnation(settings.name), settings.zone, limits, clock.now()}
+    , links_{context,
+             clock,
+             {[this](link_number link, bool) { run([&] { core_.link_opened(link, clock_.now()); }); },
+              [this](link_number link) { run([&] { core_.link_closed(link, clock_.now()); }); },
+              [this](link_number link, const work_message& message) {
+                  run([&] { core_.received(link, message, clock_.now()); });
+              }}}
+    , timer_{context}
+    , known_addresses_{settings.peers.begin(), settings.peers.end()} {
+    run([] {});
+}
+
+void durable_agent::run(const std::function<void()>& event) {
+    if (is_stopped_)
+        return;
+    event();
+    flush();
+    schedule();
+}
+
+void durable_agent::flush() {
+    agent_output output = core_.take_output(clock_.now());
+    for (const decision& made : output.decisions)
+        log_decision(component, made);
+    for (const auto& [link, message] : output.messages)
+        links_.send(link, message);
+    for (const backend_order& order : output.orders) {
+        outside_.orders(order, core_.backend_id(), [this](const backend_reply& reply) {
+            run([&] { core_.replied(reply, clock_.now()); });
+        });
+    }
+    std::set<std::string> addresses = core_.entry_addresses();
+    if (addresses.empty()) {
+        find_entries();
+        addresses = known_addresses_;
+    }
+    if (addresses != dialed_) {
+        dialed_ = addresses;
+        links_.set_dialed(addresses);
+    }
+}
+
+void durable_agent::schedule() {
+    const time_point now = clock_.now();
+    const time_point due = std::max(core_.next_wakeup(now), now + shortest_wait);
+    if (timer_due_ > now && timer_due_ <= due)
+        return;
+    timer_due_ = due;
+    timer_.expires_after(due - now);
+    timer_.async_wait([this](asio::error_code error) {
+        if (error || is_stopped_)
+            return;
+        timer_due_ = {};
+        run([this] { core_.tick(clock_.now()); });
+    });
+}
+
+void durable_agent::find_entries() {
+    const time_point now = clock_.now();
+    if (is_listing_ || now < next_listing_)
+        return;
+    is_listing_ = true;
+    next_listing_ = now + listing_interval;
+    outside_.store(store_list{entry_prefix, {}}, listing_timeout,
+                   [this](const store_reply& reply) { run([&] { entries_listed(reply); }); });
+}
+
+void durable_agent::entries_listed(const store_reply& reply) {
+    is_listing_ = false;
+    const auto* page = std::get_if<item_listing>(&reply);
+    if (page == nullptr)
+        return;
+    for (const store_item& item : page->items) {
+        if (const auto* entry = std::get_if<member_entry>(&item.value))
+            known_addresses_.insert(entry->peer_address);
+    }
+}
+
+void durable_agent::announced(const backend_announcement& announcement) {
+    run([&] { core_.announced(announcement, clock_.now()); });
+}
+
+void durable_agent::left(const std::string& backend_id) {
+    run([&] { core_.left(backend_id, clock_.now()); });
+}
+
+void durable_agent::begin_shutdown() {
+    run([this] { core_.begin_shutdown(clock_.now()); });
+}
+
+void durable_agent::stop() {
+    is_stopped_ = true;
+    timer_.cancel();
+    links_.stop();
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/durable_entry.cpp
@@ -0,0 +1,183 @@
+#include "daemon/durable_entry.h"
+
+#include "coordination/store_keys.h"
+#include "daemon/log_decision.h"
+#include "transport/logging.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "entry";
+
+// Timers fire late rather than early; shorter waits would only cost wake-ups.
+constexpr milliseconds shortest_wait{1};
+
+member_entry make_member(const daemon_settings& settings) {
+    member_entry self;
+    self.session.name = settings.name;
+    self.zone = settings.zone;
+    self.peer_address = settings.peer_address;
+    return self;
+}
+
+std::uint64_t random_number() {
+    std::random_device source;
+    return (std::uint64_t{source()} << 32U | source()) >> 1U;
+}
+
+} // namespace
+
+durable_entry::durable_entry(asio::io_context& context, const daemon_settings& settings,
+                             const entry_limits& limits, const clock_source& clock, ports outside)
+    : context_{context}
+    , clock_{clock}
+    , outside_{std::move(outside)}
+    , core_{{settings.name, random_number()}, make_member(settings), limits,
+            outside_.config_prefix,           random_number(),       random_number}
+    , links_{context,
+             clock,
+             {[this](link_number link, bool is_dialed) {
+                  run([&] { core_.link_opened(link, is_dialed, clock_.now()); });
+              },
+              [this](link_number link) { run([&] { core_.link_closed(link, clock_.now()); }); },
+              [this](link_number link, const work_message& message) {
+                  received(link, message);
+              }}}
+    , store_{clock,
+             {outside_.store,
+              [this] {
+                  std::vector<link_number> links;
+                  for (const auto& [name, link] : core_.peers())
+                      links.push_back(link);
+                  return links;
+              },
+              [this](link_number link, const work_message& message) {
+                  links_.send(link, message);
+              }},
+             entry_key(settings.name)}
+    , timer_{context}
+    , own_address_{settings.peer_address} {
+    links_.listen(settings.peer_address);
+    run([] {});
+}
+
+// Applies an event and performs what follows from it.
+void durable_entry::run(const std::function<void()>& event) {
+    if (is_stopped_)
+        return;
+    event();
+    flush();
+    schedule();
+}
+
+void durable_entry::flush() {
+    const time_point now = clock_.now();
+    if (core_.take_config_change()) {
+        if (auto config = outside_.decode_config(core_.operator_records().items(),
+                                                 core_.operator_records().revision(), core_.config()))
+            core_.set_config(std::move(config), now);
+    }
+    entry_output output = core_.take_output(now);
+    for (const decision& made : output.decisions)
+        log_decision(component, made);
+    for (const auto& [link, message] : output.messages)
+        links_.send(link, message);
+    for (const store_request& request : output.store_calls)
+        call_store(request);
+    for (const caller_reply& reply : output.replies) {
+        const auto found = replies_.find(reply.token);
+        if (found == replies_.end())
+            continue;
+        const reply_handler on_reply = std::move(found->second);
+        replies_.erase(found);
+        on_reply(reply);
+    }
+    update_peers();
+}
+
+void durable_entry::schedule() {
+    const time_point now = clock_.now();
+    const time_point due = std::max(core_.next_wakeup(now), now + shortest_wait);
+    if (timer_due_ > now && timer_due_ <= due)
+        return;
+    timer_due_ = due;
+    timer_.expires_after(due - now);
+    timer_.async_wait([this](asio::error_code error) {
+        if (error || is_stopped_)
+            return;
+        timer_due_ = {};
+        store_.tick();
+        run([this] { core_.tick(clock_.now(), clock_.wall_now()); });
+    });
+}
+
+void durable_entry::call_store(const store_request& request) {
+    store_.call(request.call, request.timeout, [this, id = request.id](const store_reply& reply) {
+        run([&] { core_.store_replied(id, reply, clock_.now(), clock_.wall_now()); });
+    });
+}
+
+void durable_entry::received(link_number link, const work_message& message) {
+    if (const auto* call = std::get_if<relayed_call>(&message))
+        store_.serve(link, *call);
+    else if (const auto* reply = std::get_if<relayed_reply>(&message))
+        store_.relayed(*reply);
+    else
+        run([&] { core_.received(link, message, clock_.now(), clock_.wall_now()); });
+}
+
+// Of two entries, the one with the smaller address makes the connection.
+void durable_entry::update_peers() {
+    std::set<std::string> addresses;
+    for (const auto& [name, state] : core_.members().entries()) {
+        if (own_address_ < state.record.peer_address)
+            addresses.insert(state.record.peer_address);
+    }
+    if (addresses == dialed_)
+        return;
+    dialed_ = addresses;
+    links_.set_dialed(addresses);
+}
+
+caller_token durable_entry::submit(job_submission request, reply_handler on_reply) {
+    const caller_token token = ++last_token_;
+    request.token = token;
+    replies_[token] = std::move(on_reply);
+    run([&] { core_.submit(request, clock_.now(), clock_.wall_now()); });
+    return token;
+}
+
+void durable_entry::caller_left(caller_token token) {
+    replies_.erase(token);
+    run([&] { core_.caller_left(token); });
+}
+
+void durable_entry::ask_state(const job_id& job, time_point answer_by, reply_handler on_reply) {
+    const caller_token token = ++last_token_;
+    replies_[token] = std::move(on_reply);
+    run([&] { core_.ask_state(token, job, answer_by, clock_.now()); });
+}
+
+void durable_entry::cancel(const job_id& job, time_point answer_by, reply_handler on_reply) {
+    const caller_token token = ++last_token_;
+    replies_[token] = std::move(on_reply);
+    run([&] { core_.cancel(token, job, answer_by, clock_.now(), clock_.wall_now()); });
+}
+
+void durable_entry::begin_shutdown(milliseconds hand_over_after) {
+    run([&] { core_.begin_shutdown(clock_.now() + hand_over_after, clock_.now()); });
+}
+
+void durable_entry::stop() {
+    is_stopped_ = true;
+    timer_.cancel();
+    links_.stop();
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/link_hub.cpp
@@ -0,0 +1,94 @@
+#include "daemon/link_hub.h"
+
+#include "protocol/ip_endpoint.h"
+#include "protocol/work_codec.h"
+#include "transport/logging.h"
+
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "links";
+
+} // namespace
+
+link_hub::link_hub(asio::io_context& context, const clock_source& clock, handlers on_event)
+    : context_{context}
+    , clock_{clock}
+    , on_event_{std::move(on_event)}
+    , dialer_{context, clock,
+              [this](const std::string& address, const std::shared_ptr<frame_connection>& connection) {
+                  open(connection, address);
+              }} {}
+
+void link_hub::listen(const std::string& address) {
+    const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(address);
+    if (!endpoint)
+        throw std::invalid_argument("not an ip:port address: " + address);
+    listener_ = std::make_unique<frame_listener>(context_, *endpoint, [this](asio::ip::tcp::socket socket) {
+        open(std::make_shared<frame_connection>(std::move(socket), clock_), {});
+    });
+    listener_->start();
+}
+
+void link_hub::set_dialed(const std::set<std::string>& addresses) {
+    dialer_.set_addresses(addresses);
+    for (const auto& [link, open] : links_) {
+        if (!open.dialed_address.empty() && !addresses.contains(open.dialed_address))
+            open.connection->close("the address is not needed any more");
+    }
+}
+
+void link_hub::open(const std::shared_ptr<frame_connection>& connection, const std::string& dialed_address) {
+    const link_number link = ++last_link_;
+    links_[link] = {connection, dialed_address};
+    connection->start(
+        [this, link](frame_kind kind, std::string_view payload) {
+            const std::optional<work_message> message =
+                kind == frame_kind::work ? decode_work_message(payload) : std::nullopt;
+            if (message) {
+                on_event_.received(link, *message);
+                return;
+            }
+            log_event(log_level::warn, component, "closing a connection that sent a malformed frame",
+                      {{"link", link}});
+            close(link, "malformed frame");
+        },
+        [this, link, dialed_address](const std::string& reason) {
+            log_event(log_level::info, component, "connection closed", {{"link", link}, {"reason", reason}});
+            links_.erase(link);
+            if (!dialed_address.empty())
+                dialer_.lost(dialed_address);
+            on_event_.closed(link);
+        });
+    on_event_.opened(link, !dialed_address.empty());
+}
+
+void link_hub::send(link_number link, const work_message& message) {
+    const auto found = links_.find(link);
+    if (found == links_.end())
+        return;
+    const std::string bytes = encode_work_message(message);
+    bytes_sent_ += bytes.size();
+    found->second.connection->send(frame_kind::work, bytes);
+}
+
+void link_hub::close(link_number link, const std::string& reason) {
+    const auto found = links_.find(link);
+    if (found != links_.end())
+        found->second.connection->close(reason);
+}
+
+void link_hub::stop() {
+    if (listener_)
+        listener_->stop();
+    dialer_.stop();
+    for (const auto& [link, open] : links_)
+        open.connection->close_gracefully();
+}
+
+} // namespace persimmonstile
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon/agent_daemon.h"
 #include "daemon/daemon_options.h"
 #include "daemon/entry_daemon.h"
+#include "platform/daemons.h"
 #include "protocol/settings_reader.h"
 #include "transport/logging.h"
 #include "transport/system_clock_source.h"
@@ -56,9 +57,16 @@
     daemon.stop();
 }
 
-int run_with_settings(const daemon_settings& settings) {
+int run_with_settings(const daemon_settings& settings, const std::string& settings_path) {
     const system_clock_source clock;
     start_logging(parse_log_level(settings.log_level).value_or(log_level::info), clock);
+    if (settings.deployment == deployment_kind::hangerloop) {
+        if (settings.role == daemon_role::entry)
+            platform::run_entry(settings, settings_path);
+        else
+            platform::run_agent(settings, settings_path);
+        return exit_done;
+    }
     if (settings.role == daemon_role::entry) {
         entry_daemon daemon{settings, clock};
         run(daemon, settings);
@@ -92,7 +100,7 @@
     }
     if (options.check)
         return exit_done;
-    return run_with_settings(std::get<daemon_settings>(settings));
+    return run_with_settings(std::get<daemon_settings>(settings), options.settings_path);
 }
 
 } // namespace
--- /dev/null
+++ b/daemon/store_router.cpp
@@ -0,0 +1,109 @@
+#include "daemon/store_router.h"
+
+#include "transport/logging.h"
+
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+constexpr const char* component = "store";
+
+// Direct calls in a row without success after which calls go through a peer.
+constexpr unsigned failures_to_relay = 2;
+
+constexpr milliseconds probe_interval{500};
+constexpr milliseconds probe_timeout{300};
+// How much longer than the call itself its way through a peer may take.
+constexpr milliseconds relay_margin{30};
+
+} // namespace
+
+store_router::store_router(const clock_source& clock, ports outside, std::string probe_key)
+    : clock_{clock}
+    , outside_{std::move(outside)}
+    , probe_key_{std::move(probe_key)} {}
+
+void store_router::call(const store_call& request, milliseconds timeout, store_reply_handler on_reply) {
+    if (direct_failing_since_ && relay(request, timeout, on_reply))
+        return;
+    call_directly(request, timeout, std::move(on_reply));
+}
+
+void store_router::call_directly(const store_call& request, milliseconds timeout,
+                                 store_reply_handler on_reply) {
+    outside_.direct(request, timeout,
+                    [this, request, timeout, on_reply = std::move(on_reply)](const store_reply& reply) {
+                        const auto* failure = std::get_if<store_failure>(&reply);
+                        if (failure == nullptr) {
+                            failures_ = 0;
+                            if (direct_failing_since_) {
+                                direct_failing_since_.reset();
+                                log_event(log_level::info, component, "store answers this process again");
+                            }
+                            on_reply(reply);
+                            return;
+                        }
+                        if (++failures_ >= failures_to_relay && !direct_failing_since_) {
+                            direct_failing_since_ = clock_.now();
+                            last_probe_ = clock_.now();
+                            log_event(log_level::warn, component, "store does not answer this process",
+                                      {{"detail", failure->detail}});
+                        }
+                        // A refusal took no time, so the call can still be made through a peer.
+                        if (failure->may_have_applied || !relay(request, timeout, on_reply))
+                            on_reply(reply);
+                    });
+}
+
+bool store_router::relay(const store_call& request, milliseconds timeout,
+                         const store_reply_handler& on_reply) {
+    const std::vector<link_number> peers = outside_.peers();
+    if (peers.empty())
+        return false;
+    const std::uint64_t token = ++last_token_;
+    relays_[token] = {on_reply, clock_.now() + timeout + relay_margin};
+    outside_.send(peers[next_peer_++ % peers.size()], relayed_call{token, timeout.count(), request});
+    return true;
+}
+
+void store_router::serve(link_number link, const relayed_call& request) {
+    const std::uint64_t token = request.token;
+    outside_.direct(request.call, request.timeout(), [this, link, token](const store_reply& reply) {
+        outside_.send(link, relayed_reply{token, reply});
+    });
+}
+
+void store_router::relayed(const relayed_reply& reply) {
+    const auto found = relays_.find(reply.token);
+    if (found == relays_.end())
+        return;
+    const store_reply_handler on_reply = std::move(found->second.on_reply);
+    relays_.erase(found);
+    on_reply(reply.reply);
+}
+
+void store_router::tick() {
+    const time_point now = clock_.now();
+    std::vector<store_reply_handler> expired;
+    for (auto it = relays_.begin(); it != relays_.end();) {
+        if (now < it->second.expires) {
+            ++it;
+            continue;
+        }
+        expired.push_back(std::move(it->second.on_reply));
+        it = relays_.erase(it);
+    }
+    for (const store_reply_handler& on_reply : expired)
+        on_reply(store_failure{"no answer through a peer", true});
+    if (direct_failing_since_ && now - last_probe_ >= probe_interval)
+        probe();
+}
+
+void store_router::probe() {
+    last_probe_ = clock_.now();
+    call_directly(store_read{probe_key_}, probe_timeout, [](const store_reply&) {});
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/daemon/store_router.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "coordination/agent_output.h"
+#include "state/clock_source.h"
+#include "state/relayed_call.h"
+#include "state/relayed_reply.h"
+#include "state/store_call.h"
+#include "state/store_reply.h"
+#include "state/work_message.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+using store_reply_handler = std::function<void(const store_reply&)>;
+
+// Makes a call to the store. The handler is called once, later, with store_failure after the timeout.
+using store_caller =
+    std::function<void(const store_call& call, milliseconds timeout, store_reply_handler on_reply)>;
+
+// Makes an entry's calls to the store: directly, or through a peer while the store turns this process away
+// and serves others. Every write of this project has conditions that make it take effect once, so a call may
+// be made both ways.
+class store_router {
+public:
+    struct ports {
+        store_caller direct;
+        // Links of the peers that may make calls for this process.
+        std::function<std::vector<link_number>()> peers;
+        std::function<void(link_number link, const work_message& message)> send;
+    };
+
+    // probe_key is read from time to time to find out whether the store answers again.
+    store_router(const clock_source& clock, ports outside, std::string probe_key);
+
+    void call(const store_call& request, milliseconds timeout, store_reply_handler on_reply);
+
+    // A peer asks for a call.
+    void serve(link_number link, const relayed_call& request);
+    void relayed(const relayed_reply& reply);
+    // Ends the relayed calls that got no answer. To be called at least every 100 ms.
+    void tick();
+
+    bool is_direct() const { return !direct_failing_since_; }
+
+private:
+    struct pending_relay {
+        store_reply_handler on_reply;
+        time_point expires{};
+    };
+
+    void call_directly(const store_call& request, milliseconds timeout, store_reply_handler on_reply);
+    bool relay(const store_call& request, milliseconds timeout, const store_reply_handler& on_reply);
+    void probe();
+
+    const clock_source& clock_;
+    ports outside_;
+    std::string probe_key_;
+    std::uint64_t last_token_ = 0;
+    std::map<std::uint64_t, pending_relay> relays_;
+    std::size_t next_peer_ = 0;
+    unsigned failures_ = 0;
+    std::optional<time_point> direct_failing_since_;
+    time_point last_probe_{};
+};
+
+} // namespace persimmonstile
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -9,6 +9,11 @@
 // Role of a daemon process.
 enum class daemon_role : std::uint8_t { entry, agent };
 
+// Which deployment a daemon serves.
+//   own         this project's interface and store; ownership by grants
+//   hangerloop  the Hangerloop platform; jobs are kept in its store
+enum class deployment_kind : std::uint8_t { own, hangerloop };
+
 // Settings of one daemon process, from one JSON file and command line overrides. Addresses are "ip:port";
 // port 0 lets the system choose.
 struct daemon_settings {
@@ -41,6 +46,26 @@
     // File that spans are appended to, or base URL of an OTLP/HTTP collector; empty for none.
     std::string trace_file;
     std::string trace_url;
+
+    // The rest concerns deployments whose jobs are kept in the platform's store.
+    deployment_kind deployment = deployment_kind::own;
+    // Entries only: where the balancer asks for readiness.
+    std::string ready_address;
+    // Where metrics are served; empty for nowhere.
+    std::string metrics_address;
+    // Agents only: where the backend server takes orders.
+    std::string backend_address;
+    // Addresses of entries on any of their ports, and the port at which all entries listen for peers.
+    std::vector<std::string> seeds;
+    std::uint32_t peer_port = 0;
+    // Longest lease that a backend server grants.
+    std::uint32_t longest_run_lease_ms = 1000;
+    // Ended jobs are remembered for this long.
+    std::uint32_t retention_s = 120;
+    // A process that was asked to end is killed after this time.
+    std::uint32_t grace_s = 6;
+
+    bool operator==(const daemon_settings&) const = default;
 };
 
 } // namespace persimmonstile
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -53,6 +53,19 @@
                   "description": "one of \"trace\", \"debug\", \"info\", \"warn\", \"error\""},
     "event_file": {"type": "string", "description": "a path for recorded events, or an empty string"},
     "advertised_peer_address": {"type": "string", "description": "an ip:port address, or an empty string"},
+    "deployment": {"enum": ["own", "hangerloop"], "description": "\"own\" or \"hangerloop\""},
+    "ready_address": {"type": "string", "description": "\"ip:port\" where the balancer asks for readiness"},
+    "metrics_address": {"type": "string", "description": "\"ip:port\" for metrics, or an empty string"},
+    "backend_address": {"type": "string", "description": "\"ip:port\" where the backend server takes orders"},
+    "seeds": {"type": "array", "description": "a list of addresses \"ip:port\" of entries",
+              "items": {"type": "string", "description": "an address \"ip:port\" of an entry"}},
+    "peer_port": {"type": "integer", "minimum": 0, "maximum": 65535,
+                  "description": "the port at which all entries listen for peers"},
+    "longest_run_lease_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+                             "description": "an integer from 100 to 600000"},
+    "retention_s": {"type": "integer", "minimum": 1, "maximum": 86400,
+                    "description": "an integer from 1 to 86400"},
+    "grace_s": {"type": "integer", "minimum": 1, "maximum": 3600, "description": "an integer from 1 to 3600"},
     "trace_file": {"type": "string", "description": "a path for trace spans, or an empty string"},
     "trace_url": {"type": "string",
                   "description": "the base URL \"http://ip:port\" of a trace collector, or an empty string"}
@@ -105,9 +118,11 @@
     void run() {
         check_endpoint("http_address");
         check_endpoint("peer_address");
-        check_advertised_address();
+        check_optional_endpoint("advertised_peer_address");
         check_list("store_endpoints", expected_url, is_ip_url);
         check_list("peers", expected_connect_endpoint, is_connect_endpoint);
+        check_list("seeds", expected_connect_endpoint, is_connect_endpoint);
+        check_optional_endpoint("metrics_address");
         const std::string trace_url = text("trace_url");
         if (!trace_url.empty() && !is_ip_url(trace_url)) {
             report("trace_url", expected_url, short_text(trace_url));
@@ -119,10 +134,10 @@
     }
 
 private:
-    void check_advertised_address() {
-        const std::string address = text("advertised_peer_address");
+    void check_optional_endpoint(const char* member) {
+        const std::string address = text(member);
         if (!address.empty() && !is_connect_endpoint(address))
-            report("advertised_peer_address", expected_connect_endpoint, short_text(address));
+            report(member, expected_connect_endpoint, short_text(address));
     }
 
     static bool is_connect_endpoint(std::string_view value) {
@@ -131,6 +146,11 @@
     }
 
     void check_role() {
+        if (text("deployment") == "hangerloop") {
+            require_list("store_endpoints", "at least one store URL");
+            require_endpoint(text("role") == "agent" ? "backend_address" : "ready_address");
+            return;
+        }
         if (text("role") == "entry") {
             require_list("store_endpoints", "at least one store URL for role \"entry\"");
             if (!document_.contains("peer_address")) {
@@ -153,6 +173,12 @@
         }
     }
 
+    void require_endpoint(const char* member) {
+        if (!is_connect_endpoint(text(member)))
+            report(member, expected_connect_endpoint,
+                   text(member).empty() ? std::string{nothing_found} : short_text(text(member)));
+    }
+
     void check_list(const char* member, const char* expected, bool (*valid)(std::string_view)) {
         const auto found = document_.find(member);
         if (found == document_.end() || !found->is_array()) {
@@ -211,6 +237,16 @@
     read_member(document, "advertised_peer_address", settings.advertised_peer_address);
     read_member(document, "trace_file", settings.trace_file);
     read_member(document, "trace_url", settings.trace_url);
+    settings.deployment = document.value("deployment", "own") == "hangerloop" ? deployment_kind::hangerloop
+                                                                              : deployment_kind::own;
+    read_member(document, "ready_address", settings.ready_address);
+    read_member(document, "metrics_address", settings.metrics_address);
+    read_member(document, "backend_address", settings.backend_address);
+    read_member(document, "seeds", settings.seeds);
+    read_member(document, "peer_port", settings.peer_port);
+    read_member(document, "longest_run_lease_ms", settings.longest_run_lease_ms);
+    read_member(document, "retention_s", settings.retention_s);
+    read_member(document, "grace_s", settings.grace_s);
     return settings;
 }
 
--- /dev/null
+++ b/state/claim_runs.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "state/incarnation.h"
+#include "state/resources.h"
+#include "state/run_ref.h"
+
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// A run with what it takes of the backend server.
+struct claimed_run {
+    run_ref run;
+    resources needs;
+
+    static constexpr auto members() { return std::make_tuple(&claimed_run::run, &claimed_run::needs); }
+};
+
+// Owner to agent: these runs, which a restarted agent found at its backend server, belong to this owner.
+struct claim_runs {
+    incarnation owner;
+    bool is_kept = true;
+    std::vector<claimed_run> runs;
+
+    static constexpr auto members() {
+        return std::make_tuple(&claim_runs::owner, &claim_runs::is_kept, &claim_runs::runs);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/deployment_config.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "state/queue_policy.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// What the operators have configured, in one version, and which availability zones are out of service.
+struct deployment_config {
+    std::uint64_t version = 0;
+    std::vector<queue_policy> queues;
+    std::size_t max_body_bytes = std::size_t{256} * 1024;
+    std::set<std::string> zones_out;
+    // Grows with each change of zones_out.
+    std::uint64_t zones_version = 0;
+};
+
+} // namespace persimmonstile
--- a/state/limits.h
+++ b/state/limits.h
@@ -23,6 +23,15 @@
 constexpr std::chrono::milliseconds heartbeat_interval{300};
 constexpr std::chrono::milliseconds connection_silence_limit{900};
 
+// An agent keeps runs going for this long without news of their owner. Longer than the restart of an entry,
+// so that its successor still finds them; short, because a successor that cannot reach the agent waits for
+// it.
+constexpr std::chrono::milliseconds owner_contact_lease{1800};
+
+// The same for jobs that live with their caller's call. A caller whose connection broke sends the job
+// again 1.3 s later at the earliest, and by then the runs must have ended.
+constexpr std::chrono::milliseconds caller_contact_lease{900};
+
 // An agent that cannot be reached for this long is given up: its tasks have an unknown outcome.
 constexpr std::chrono::milliseconds agent_loss_timeout{5000};
 
--- /dev/null
+++ b/state/open_job.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "state/job_plan.h"
+#include "state/task_progress.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace persimmonstile {
+
+// The record of a job that has not ended. It holds all that a successor of its owner needs.
+struct open_job {
+    std::string queue;
+    std::string service;
+    // Runs that a task may fail before its job has failed.
+    std::uint32_t attempts = 1;
+    // Calendar time of the acceptance, in milliseconds since 1970.
+    std::int64_t accepted_ms = 0;
+    job_plan plan;
+    std::vector<task_progress> progress;
+
+    static constexpr auto members() {
+        return std::make_tuple(&open_job::queue, &open_job::service, &open_job::attempts,
+                               &open_job::accepted_ms, &open_job::plan, &open_job::progress);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/queue_count.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Jobs of one queue at one entry that were accepted and have not begun.
+struct queue_count {
+    std::string queue;
+    std::uint64_t pending = 0;
+
+    static constexpr auto members() { return std::make_tuple(&queue_count::queue, &queue_count::pending); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/relayed_reply.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "state/store_reply.h"
+
+#include <cstdint>
+#include <tuple>
+
+namespace persimmonstile {
+
+// The reply to the relayed_call with the same token.
+struct relayed_reply {
+    std::uint64_t token = 0;
+    store_reply reply;
+
+    static constexpr auto members() { return std::make_tuple(&relayed_reply::token, &relayed_reply::reply); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/resources.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+
+namespace persimmonstile {
+
+// What a task needs of a backend server, or what a backend server has. Differences may be negative.
+struct resources {
+    // Thousandths of a processor core.
+    std::int64_t cpu_millicores = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t gpus = 0;
+
+    bool operator==(const resources&) const = default;
+
+    resources& operator+=(const resources& other) {
+        cpu_millicores += other.cpu_millicores;
+        memory_mb += other.memory_mb;
+        gpus += other.gpus;
+        return *this;
+    }
+
+    resources& operator-=(const resources& other) {
+        cpu_millicores -= other.cpu_millicores;
+        memory_mb -= other.memory_mb;
+        gpus -= other.gpus;
+        return *this;
+    }
+
+    friend resources operator+(resources left, const resources& right) { return left += right; }
+    friend resources operator-(resources left, const resources& right) { return left -= right; }
+
+    friend resources operator*(const resources& one, std::int64_t count) {
+        return {one.cpu_millicores * count, one.memory_mb * count, one.gpus * count};
+    }
+
+    bool fits_in(const resources& room) const {
+        return cpu_millicores <= room.cpu_millicores && memory_mb <= room.memory_mb && gpus <= room.gpus;
+    }
+
+    static constexpr auto members() {
+        return std::make_tuple(&resources::cpu_millicores, &resources::memory_mb, &resources::gpus);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/run_ref.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "state/task_ref.h"
+
+#include <compare>
+#include <cstdint>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Counts the runs of one task, from 1. A later run has a higher number; numbers may be left out.
+using run_number = std::uint64_t;
+
+// Names one run of one task.
+struct run_ref {
+    task_ref task;
+    run_number run = 0;
+
+    auto operator<=>(const run_ref&) const = default;
+
+    static constexpr auto members() { return std::make_tuple(&run_ref::task, &run_ref::run); }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/run_report.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "state/run_ref.h"
+#include "state/run_refusal.h"
+#include "state/run_state.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// Agent to owner: the state of one run.
+struct run_report {
+    run_ref run;
+    run_state state = run_state::queued;
+    run_refusal reason = run_refusal::none;
+    // Number under which the backend server lists the end until it is acknowledged, and the life of the
+    // backend server that counts so; 0 if it lists none.
+    std::uint64_t end_number = 0;
+    std::uint64_t backend_life = 0;
+    // Time since the start, up to the end or the report.
+    std::int64_t run_us = 0;
+    // Progress of a running task, 0 to 100.
+    std::uint32_t percent = 0;
+    // Newest checkpoint; empty for none.
+    std::string checkpoint;
+
+    std::chrono::microseconds run_time() const { return std::chrono::microseconds{run_us}; }
+
+    static constexpr auto members() {
+        return std::make_tuple(&run_report::run, &run_report::state, &run_report::reason,
+                               &run_report::end_number, &run_report::backend_life, &run_report::run_us,
+                               &run_report::percent, &run_report::checkpoint);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/run_start.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "state/resources.h"
+#include "state/run_ref.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// One run that an agent is to start.
+struct run_start {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    task_index index = 0;
+    run_number run = 0;
+    resources needs;
+    // Checkpoint to resume from; empty for none.
+    std::string checkpoint;
+
+    static constexpr auto members() {
+        return std::make_tuple(&run_start::occurrence, &run_start::step, &run_start::index, &run_start::run,
+                               &run_start::needs, &run_start::checkpoint);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/store_call.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "state/store_condition.h"
+#include "state/store_put.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace persimmonstile {
+
+// All changes take effect if every condition holds, and none otherwise.
+struct store_write {
+    std::vector<store_condition> conditions;
+    std::vector<store_put> puts;
+    std::vector<std::string> removals;
+
+    static constexpr auto members() {
+        return std::make_tuple(&store_write::conditions, &store_write::puts, &store_write::removals);
+    }
+};
+
+struct store_read {
+    std::string key;
+
+    static constexpr auto members() { return std::make_tuple(&store_read::key); }
+};
+
+// One page of the keys that begin with prefix, in order, after the given key.
+struct store_list {
+    std::string prefix;
+    std::string after_key;
+
+    static constexpr auto members() { return std::make_tuple(&store_list::prefix, &store_list::after_key); }
+};
+
+// Waits for a change of a key that begins with prefix, later than the revision.
+struct store_watch {
+    std::string prefix;
+    std::uint64_t after_revision = 0;
+    std::int64_t wait_ms = 0;
+
+    std::chrono::milliseconds wait() const { return std::chrono::milliseconds{wait_ms}; }
+
+    static constexpr auto members() {
+        return std::make_tuple(&store_watch::prefix, &store_watch::after_revision, &store_watch::wait_ms);
+    }
+};
+
+struct lease_open {
+    std::int64_t time_to_live_ms = 0;
+
+    std::chrono::milliseconds time_to_live() const { return std::chrono::milliseconds{time_to_live_ms}; }
+
+    static constexpr auto members() { return std::make_tuple(&lease_open::time_to_live_ms); }
+};
+
+struct lease_renew {
+    std::uint64_t lease = 0;
+
+    static constexpr auto members() { return std::make_tuple(&lease_renew::lease); }
+};
+
+struct lease_close {
+    std::uint64_t lease = 0;
+
+    static constexpr auto members() { return std::make_tuple(&lease_close::lease); }
+};
+
+// A call to the store, as data: the decision logic asks for it, and any process that reaches the store can
+// make it.
+using store_call =
+    std::variant<store_write, store_read, store_list, store_watch, lease_open, lease_renew, lease_close>;
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/store_condition.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// The key must have this revision; 0 means that it must not exist.
+struct store_condition {
+    std::string key;
+    std::uint64_t revision = 0;
+
+    bool operator==(const store_condition&) const = default;
+
+    static constexpr auto members() {
+        return std::make_tuple(&store_condition::key, &store_condition::revision);
+    }
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/store_reply.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "state/store_item.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace persimmonstile {
+
+// The write took effect with this revision.
+struct write_applied {
+    std::uint64_t revision = 0;
+
+    static constexpr auto members() { return std::make_tuple(&write_applied::revision); }
+};
+
+// A condition did not hold and nothing was written. items are the keys of all conditions as they are.
+struct write_conflict {
+    std::vector<store_item> items;
+
+    static constexpr auto members() { return std::make_tuple(&write_conflict::items); }
+};
+
+struct item_found {
+    store_item item;
+
+    static constexpr auto members() { return std::make_tuple(&item_found::item); }
+};
+
+struct item_missing {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// One page. Pages together are not a snapshot; changes after revision may be missing.
+struct item_listing {
+    std::vector<store_item> items;
+    bool has_more = false;
+    std::uint64_t revision = 0;
+
+    static constexpr auto members() {
+        return std::make_tuple(&item_listing::items, &item_listing::has_more, &item_listing::revision);
+    }
+};
+
+// Changes in their order. A deletion is an item without value and with revision 0.
+struct item_changes {
+    std::vector<store_item> items;
+    std::uint64_t revision = 0;
+
+    static constexpr auto members() { return std::make_tuple(&item_changes::items, &item_changes::revision); }
+};
+
+// The changes after the revision of the watch are no longer kept.
+struct history_lost {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+struct lease_valid {
+    std::uint64_t lease = 0;
+    std::int64_t time_to_live_ms = 0;
+
+    static constexpr auto members() {
+        return std::make_tuple(&lease_valid::lease, &lease_valid::time_to_live_ms);
+    }
+};
+
+// The lease of a write, or the one to be renewed, has ended.
+struct lease_missing {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+// No usable answer.
+struct store_failure {
+    std::string detail;
+    // The call may have been carried out, or may be later.
+    bool may_have_applied = false;
+
+    static constexpr auto members() {
+        return std::make_tuple(&store_failure::detail, &store_failure::may_have_applied);
+    }
+};
+
+using store_reply = std::variant<store_failure, write_applied, write_conflict, item_found, item_missing,
+                                 item_listing, item_changes, history_lost, lease_valid, lease_missing>;
+
+} // namespace persimmonstile
--- /dev/null
+++ b/state/task_progress.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "state/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace persimmonstile {
+
+// What must outlive the owner of one task of an open job. Tasks without progress are left out.
+struct task_progress {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    task_index index = 0;
+    bool is_done = false;
+    // Runs that ended by their own fault or the backend server's.
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+
+    bool operator==(const task_progress&) const = default;
+
+    static constexpr auto members() {
+        return std::make_tuple(&task_progress::occurrence, &task_progress::step, &task_progress::index,
+                               &task_progress::is_done, &task_progress::failures, &task_progress::checkpoint);
+    }
+};
+
+} // namespace persimmonstile
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -8,20 +8,31 @@
 #include <string>
 #include <vector>
 
+namespace asio {
+class io_context;
+}
+
 namespace persimmonstile {
 
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
 // A received HTTP request. path is percent-decoded as the client sent it, query still encoded.
 struct http_request {
     std::string method;
     std::string path;
     std::string query;
     std::string traceparent;
+    // Tells the connections of one server apart.
+    std::uint64_t connection = 0;
+    // Those of http_limits::kept_headers that the request has.
+    std::vector<http_header> headers;
     std::string body;
-};
 
-struct http_header {
-    std::string name;
-    std::string value;
+    // The value of a kept header; empty if the request does not have it.
+    const std::string& header(const std::string& name) const;
 };
 
 struct http_response {
@@ -29,6 +40,8 @@
     std::string content_type = "application/json";
     std::vector<http_header> headers;
     std::string body;
+    // Ask the client to use another connection from now on.
+    bool closes_connection = false;
 };
 
 // Takes the response to one request. May be called once, from any thread, at any later time.
@@ -36,6 +49,9 @@
 
 using http_handler = std::function<void(http_request, http_responder)>;
 
+// Told when a connection is closed; requests of it may still wait for their response, which nobody gets then.
+using http_close_handler = std::function<void(std::uint64_t connection)>;
+
 // Bounds on what clients may use up.
 struct http_limits {
     std::size_t max_body_bytes = 0;
@@ -43,14 +59,19 @@
     // Time for a client to send a whole request, and to read the response.
     std::chrono::milliseconds read_timeout{10000};
     std::chrono::milliseconds write_timeout{10000};
+    // Names of the request headers that the handler reads.
+    std::vector<std::string> kept_headers;
 };
 
-// HTTP/1.1 server on RESTinio with threads of its own.
+// HTTP/1.1 server on RESTinio.
 class http_server {
 public:
-    // address is "ip:port". Throws std::exception if it cannot be bound.
+    // With threads of its own. address is "ip:port". Throws std::exception if it cannot be bound.
     http_server(const std::string& address, std::size_t threads, const http_limits& limits,
                 http_handler handler);
+    // On the thread that runs the context, which must be the calling one.
+    http_server(asio::io_context& context, const std::string& address, const http_limits& limits,
+                http_handler handler, http_close_handler on_close = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -59,6 +80,8 @@
     const std::string& address() const { return address_; }
     // Requests whose response has not been written completely.
     std::size_t open_requests() const;
+    // Takes no more connections; those that are open go on. Only for a server on a context of the caller.
+    void stop_accepting();
     void stop();
 
 private:
--- a/transport/logging.cpp
+++ b/transport/logging.cpp
@@ -96,13 +96,13 @@
     return json_string(name);
 }
 
-std::string members_text(std::string_view message, std::initializer_list<log_field> fields,
+std::string members_text(std::string_view message, std::span<const log_field> fields,
                          std::uint64_t suppressed) {
     std::string text = "\"message\":" + json_string(message);
-    if (fields.size() != 0) {
+    if (!fields.empty()) {
         text += ",\"fields\":{";
         for (const log_field& field : fields) {
-            if (&field != fields.begin()) {
+            if (&field != fields.data()) {
                 text += ',';
             }
             text += field_name(field) + ':' + value_text(field.value());
@@ -146,7 +146,7 @@
 std::atomic<log_level> log_threshold = log_level::off;
 
 void write_log_event(log_level level, std::string_view component, std::string_view message,
-                     std::initializer_list<log_field> fields) {
+                     std::span<const log_field> fields) {
     std::uint64_t suppressed = 0;
     const clock_source* clock = log_clock.load(std::memory_order_acquire);
     if (level >= log_level::warn && clock != nullptr) {
@@ -166,6 +166,10 @@
     static const bool appender_added = (add_appender(), true);
     static_cast<void>(appender_added);
     log_clock.store(&clock, std::memory_order_release);
+    set_log_threshold(threshold);
+}
+
+void set_log_threshold(log_level threshold) {
     detail::log_threshold.store(threshold, std::memory_order_relaxed);
 }
 
--- a/transport/logging.h
+++ b/transport/logging.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <initializer_list>
+#include <span>
 #include <string_view>
 
 namespace persimmonstile {
@@ -16,7 +17,7 @@
 extern std::atomic<log_level> log_threshold;
 
 void write_log_event(log_level level, std::string_view component, std::string_view message,
-                     std::initializer_list<log_field> fields);
+                     std::span<const log_field> fields);
 
 } // namespace detail
 
@@ -25,6 +26,9 @@
 // Nothing is written before the first call. A further call changes level and clock.
 void start_logging(log_level threshold, const clock_source& clock);
 
+// Changes the least level of the lines that are written.
+void set_log_threshold(log_level threshold);
+
 inline bool is_log_enabled(log_level level) {
     return level >= detail::log_threshold.load(std::memory_order_relaxed);
 }
@@ -34,6 +38,14 @@
 // number of those left out in "suppressed". Thread-safe.
 inline void log_event(log_level level, std::string_view component, std::string_view message,
                       std::initializer_list<log_field> fields = {}) {
+    if (is_log_enabled(level)) {
+        detail::write_log_event(level, component, message, {fields.begin(), fields.size()});
+    }
+}
+
+// The same for fields whose number is only known when the program runs.
+inline void log_event(log_level level, std::string_view component, std::string_view message,
+                      std::span<const log_field> fields) {
     if (is_log_enabled(level)) {
         detail::write_log_event(level, component, message, fields);
     }
