Acknowledge the ends of runs that no entry claims

Cause: after all daemons were killed, agents found ended runs of jobs that lived with their callers' calls. No entry knew the jobs, so nobody recorded the ends; the backend servers list 500 at a time, and after 6 s of traffic newer ends were not listed any more. Ruled out: agents that did not start (all were settled 0.1 s after their start). Change: one entry asks the store for the job of such a run. If there is none, the run is stopped or its end acknowledged.

--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -31,6 +31,11 @@
 // within this and the slack of a watch.
 constexpr milliseconds config_watch_wait{1000};
 
+// A read of one record; the store answers within milliseconds.
+constexpr milliseconds read_timeout{150};
+// Pause before the store is asked again for the job of a run without an owner.
+constexpr milliseconds orphan_retry{200};
+
 // A reply has to leave this long before its caller gives up.
 constexpr milliseconds reply_margin{40};
 
@@ -537,6 +542,8 @@
             // Nobody else will record the end of a job that has ended here.
             if (ended_.contains(report.run.task.job) && report.end_number != 0)
                 acknowledge(agent.number, report.backend_life, report.end_number);
+            else
+                check_orphan(agent, report, now);
             continue;
         }
         if (report.run.task.step < job->record->plan.steps.size())
@@ -550,6 +557,49 @@
     }
 }
 
+// One entry is enough to ask the store.
+bool entry_core::is_first_entry() const {
+    return std::all_of(peers_.begin(), peers_.end(),
+                       [&](const auto& entry) { return name_ < entry.second.name; });
+}
+
+void entry_core::check_orphan(const agent_view& agent, const run_report& report, time_point now) {
+    orphan_check& check = orphans_[report.run];
+    check.agent = agent.number;
+    check.report = report;
+    if (check.ask_at == time_point{})
+        check.ask_at = now;
+}
+
+void entry_core::orphan_checked(std::uint64_t call, const store_reply& answer, time_point now) {
+    const auto found = std::find_if(orphans_.begin(), orphans_.end(),
+                                    [&](const auto& entry) { return entry.second.call == call; });
+    if (found == orphans_.end())
+        return;
+    orphan_check& check = found->second;
+    check.call = 0;
+    const auto* item = std::get_if<item_found>(&answer);
+    const auto* status = item != nullptr ? std::get_if<job_status>(&item->item.value) : nullptr;
+    const bool is_over = std::holds_alternative<item_missing>(answer) ||
+                         (status != nullptr && is_final(status->state));
+    if (!is_over) {
+        // The owner of an open job claims its runs; without an answer the store is asked again.
+        if (status != nullptr)
+            orphans_.erase(found);
+        else
+            check.ask_at = now + orphan_retry;
+        return;
+    }
+    const agent_view* agent = agents_.by_number(check.agent);
+    if (agent != nullptr && agent->link != 0) {
+        if (check.report.end_number != 0)
+            acknowledge(check.agent, check.report.backend_life, check.report.end_number);
+        else
+            output_.messages.emplace_back(agent->link, stop_runs{process_, {check.report.run}});
+    }
+    orphans_.erase(found);
+}
+
 // The run has ended without a result, or never started.
 void entry_core::lose_run(agent_view& agent, const run_ref& run, time_point now) {
     run_report report;
@@ -1032,7 +1082,12 @@
         send(store_user::keeper, call.id, std::move(call.what), call.timeout);
     for (prefix_view::call& call : operator_records_.take_calls(now))
         send(store_user::operators, call.id, std::move(call.what), call.timeout);
-    constexpr milliseconds read_timeout{150};
+    for (auto& [run, check] : orphans_) {
+        if (check.call != 0 || now < check.ask_at || !is_first_entry())
+            continue;
+        check.call = ++last_orphan_call_;
+        send(store_user::orphans, check.call, store_read{job_key(run.task.job)}, read_timeout);
+    }
     for (job_locator::read& read : locator_.take_reads())
         send(store_user::locator, read.id, store_read{job_key(read.job)}, read_timeout);
 }
@@ -1064,6 +1119,9 @@
     case store_user::operators:
         operator_records_.replied(own_id, answer, now);
         break;
+    case store_user::orphans:
+        orphan_checked(own_id, answer, now);
+        break;
     case store_user::locator:
         locator_.read_replied(own_id, answer, members(), session(), now);
         break;
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -98,7 +98,16 @@
         bool is_cancel = false;
     };
 
-    enum class store_user : std::uint8_t { commits, keeper, locator, operators };
+    enum class store_user : std::uint8_t { commits, keeper, locator, operators, orphans };
+
+    // A run without an owner, found by a restarted agent. If its job is not in the store, nobody claims it.
+    struct orphan_check {
+        agent_number agent = 0;
+        run_report report;
+        // 0 while the store is not being asked.
+        std::uint64_t call = 0;
+        time_point ask_at{};
+    };
 
     // Messages.
     void receive(link_number link, const agent_profile& profile, time_point now);
@@ -125,6 +134,9 @@
     void acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number);
     void acknowledge_all(ledger_job& job);
     void claim(agent_view& agent, const run_inventory& orphans, time_point now);
+    void check_orphan(const agent_view& agent, const run_report& report, time_point now);
+    void orphan_checked(std::uint64_t call, const store_reply& answer, time_point now);
+    bool is_first_entry() const;
 
     // Jobs.
     void end_job(ledger_job& job, job_state state, time_point now);
@@ -191,6 +203,9 @@
     // Ends to be acknowledged, by agent and life.
     std::map<std::pair<agent_number, std::uint64_t>, std::vector<std::uint64_t>> acknowledgements_;
 
+    // By run.
+    std::map<run_ref, orphan_check> orphans_;
+    std::uint64_t last_orphan_call_ = 0;
     std::uint64_t last_store_id_ = 0;
     std::map<std::uint64_t, std::pair<store_user, std::uint64_t>> store_ids_;
     wall_time wall_{};
