Refuse late jobs at an entry that ends, and answer whoever still waits

Cause: callers keep idle connections to an entry that got SIGTERM; a job that came on one 3.8 s later was accepted, and the process ended 1.2 s later.

--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -119,6 +119,10 @@
             reply(request.token, caller_reply_kind::accepted, known->state);
         return;
     }
+    if (now >= refuse_at_) {
+        refuse(request, submit_refusal::shutting_down, milliseconds{0});
+        return;
+    }
     const queue_policy* queue = config_ ? find_queue_named(*config_, request.queue) : nullptr;
     if (queue == nullptr) {
         refuse(request, submit_refusal::no_configuration, usual_retry);
@@ -351,7 +355,7 @@
         output_.messages.emplace_back(link, peer_introduction{name_, session()});
 }
 
-void entry_core::link_closed(link_number link, time_point now) {
+void entry_core::link_closed(link_number link) {
     peers_.erase(link);
     if (agent_view* agent = agents_.by_link(link)) {
         note("lost the connection to an agent", {},
@@ -446,7 +450,7 @@
         welcome(agent);
 }
 
-void entry_core::receive(link_number link, const agent_profile& profile, time_point now) {
+void entry_core::receive(link_number link, const agent_profile& profile, time_point) {
     agent_view& agent = agents_.by_name(profile.agent.name);
     const bool is_new_link = agent.link != link;
     const bool is_new_backend =
@@ -472,7 +476,6 @@
     }
     agent.is_recorded = members().agents().contains(agent.name);
     is_plan_needed_ = true;
-    static_cast<void>(now);
 }
 
 void entry_core::receive(link_number link, const view_ping& ping, time_point now) {
@@ -1217,13 +1220,26 @@
     return std::exchange(output_, {});
 }
 
-bool entry_core::is_ready(time_point now) const {
-    static_cast<void>(now);
+bool entry_core::is_ready() const {
     return config_ && !is_shutting_down_;
 }
 
-void entry_core::begin_shutdown(time_point hand_over_at, time_point) {
+void entry_core::answer_all() {
+    for (auto* waiting : {&accepting_, &ending_}) {
+        for (const auto& [id, callers] : *waiting) {
+            note("answering a caller before the process ends", id, {}, true);
+            for (const waiting_caller& caller : callers)
+                reply(caller.token, caller_reply_kind::uncertain);
+            if (const ledger_job* job = ledger_.find(id); job != nullptr && !job->is_kept())
+                stop_runs_of(*job);
+        }
+        waiting->clear();
+    }
+}
+
+void entry_core::begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point) {
     is_shutting_down_ = true;
+    refuse_at_ = refuse_at;
     hand_over_at_ = hand_over_at;
     note("shutdown begins", {}, {{"jobs", static_cast<std::int64_t>(ledger_.jobs().size())}});
 }
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -55,7 +55,7 @@
 
     // Connections. A dialed one leads to another entry.
     void link_opened(link_number link, bool is_dialed, time_point now);
-    void link_closed(link_number link, time_point now);
+    void link_closed(link_number link);
     void received(link_number link, const work_message& message, time_point now, wall_time wall);
 
     void store_replied(std::uint64_t id, const store_reply& reply, time_point now, wall_time wall);
@@ -65,9 +65,12 @@
     entry_output take_output(time_point now);
 
     // New connections are welcome.
-    bool is_ready(time_point now) const;
-    // Takes no new jobs and hands the open ones to the other entries when they have no runs, or at the limit.
-    void begin_shutdown(time_point hand_over_at, time_point now);
+    bool is_ready() const;
+    // Refuses new jobs from refuse_at on, and hands the open ones to the other entries when all have ended, or at
+    // hand_over_at.
+    void begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point now);
+    // Answers all callers that still wait, because the process ends now.
+    void answer_all();
     bool has_left() const { return keeper_.has_left(); }
     bool is_shutting_down() const { return is_shutting_down_; }
 
@@ -215,6 +218,7 @@
     std::vector<std::string> told_addresses_;
     bool is_plan_needed_ = false;
     bool is_shutting_down_ = false;
+    time_point refuse_at_ = time_point::max();
     time_point hand_over_at_{};
     entry_output output_;
 };
--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -45,7 +45,7 @@
              {[this](link_number link, bool is_dialed) {
                   run([&] { core_.link_opened(link, is_dialed, clock_.now()); });
               },
-              [this](link_number link) { run([&] { core_.link_closed(link, clock_.now()); }); },
+              [this](link_number link) { run([&] { core_.link_closed(link); }); },
               [this](link_number link, const work_message& message) {
                   received(link, message);
               }}}
@@ -170,8 +170,13 @@
     run([&] { core_.cancel(token, job, answer_by, clock_.now(), clock_.wall_now()); });
 }
 
-void durable_entry::begin_shutdown(milliseconds hand_over_after) {
-    run([&] { core_.begin_shutdown(clock_.now() + hand_over_after, clock_.now()); });
+void durable_entry::begin_shutdown(milliseconds refuse_after, milliseconds hand_over_after) {
+    const time_point now = clock_.now();
+    run([&] { core_.begin_shutdown(now + refuse_after, now + hand_over_after, now); });
+}
+
+void durable_entry::answer_all() {
+    run([this] { core_.answer_all(); });
 }
 
 void durable_entry::stop() {
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -52,12 +52,14 @@
     std::uint64_t pending(const std::string& queue) const { return core_.pending(queue); }
 
     const deployment_config* config() const { return core_.config(); }
-    bool is_ready() const { return core_.is_ready(clock_.now()); }
+    bool is_ready() const { return core_.is_ready(); }
     bool is_shutting_down() const { return core_.is_shutting_down(); }
     const entry_core& core() const { return core_; }
 
-    // Hands the jobs over and answers the callers that wait.
-    void begin_shutdown(milliseconds hand_over_after);
+    // Refuses new jobs after the first time, and hands the open ones over after the second.
+    void begin_shutdown(milliseconds refuse_after, milliseconds hand_over_after);
+    // Answers the callers that still wait, because the process ends now.
+    void answer_all();
     bool is_drained() const { return core_.has_left() && replies_.empty(); }
     void stop();
 
