Tell with an inventory which orders it includes

Cause: an entry whose session began got a second inventory of its runs from each agent. The inventory crossed orders that were on their way, and the entry took these for never started and placed the tasks again. Change: an inventory carries the number of start messages that came before it, and an entry draws no conclusion about later ones.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -499,7 +499,7 @@
     send_inventory(link, {}, now);
     for (const auto& [former, successor] : deposed_) {
         if (successor == state.session)
-            output_.messages.emplace_back(link, run_inventory{former, {}});
+            output_.messages.emplace_back(link, run_inventory{former, {}, state.starts_seen});
     }
 }
 
@@ -757,6 +757,7 @@
     deposed_[message.former] = message.successor;
     run_inventory inventory;
     inventory.owner = message.former;
+    inventory.starts_seen = links_[link].starts_seen;
     runs_.for_each([&](run_record& record) {
         if (record.owner != message.former)
             return;
@@ -820,6 +821,7 @@
 void agent_core::send_inventory(link_number link, const incarnation& owner, time_point now) {
     run_inventory inventory;
     inventory.owner = owner;
+    inventory.starts_seen = links_[link].starts_seen;
     runs_.for_each([&](run_record& record) {
         if (record.owner == owner)
             inventory.reports.push_back(report_of(record, now));
--- a/coordination/agent_directory.cpp
+++ b/coordination/agent_directory.cpp
@@ -31,6 +31,8 @@
     agent.is_introduced = false;
     agent.is_session_introduced = false;
     agent.starts_sent = 0;
+    for (auto& [run, start] : agent.runs)
+        start = 0;
     agent.unseen.clear();
     links_[link] = agent.number;
     return before == link ? 0 : before;
@@ -39,6 +41,8 @@
 void agent_directory::disconnect(agent_view& agent) {
     links_.erase(agent.link);
     agent.link = 0;
+    for (auto& [run, start] : agent.runs)
+        start = 0;
     agent.is_introduced = false;
     agent.is_session_introduced = false;
     agent.unseen.clear();
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -9,7 +9,7 @@
 
 #include <cstdint>
 #include <deque>
-#include <set>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -32,8 +32,9 @@
     // Start messages on this connection, and the needs in those that the room does not include.
     std::uint64_t starts_sent = 0;
     std::deque<std::pair<std::uint64_t, resources>> unseen;
-    // Runs of this entry that were given to the agent and have not ended.
-    std::set<run_ref> runs;
+    // Runs of this entry that were given to the agent and have not ended, with the start message on this
+    // connection; 0 for those of an earlier connection.
+    std::map<run_ref, std::uint64_t> runs;
     // Last ping. The agent counts from its sending how long it may keep runs going without news of this
     // entry.
     time_point heard{};
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -526,10 +526,11 @@
     }
     // What the agent does not know has not started there and never will.
     const bool is_kept = message.owner == session();
-    const std::set<run_ref> believed = agent->runs;
-    for (const run_ref& run : believed) {
+    const std::map<run_ref, std::uint64_t> believed = agent->runs;
+    for (const auto& [run, start] : believed) {
         const ledger_job* job = ledger_.find(run.task.job);
-        if (!listed.contains(run) && (job == nullptr || job->is_kept() == is_kept))
+        if (start <= message.starts_seen && !listed.contains(run) &&
+            (job == nullptr || job->is_kept() == is_kept))
             lose_run(*agent, run, now);
     }
     (is_kept ? agent->is_session_introduced : agent->is_introduced) = true;
@@ -626,7 +627,7 @@
     const ledger_task copy = before != nullptr ? *before : ledger_task{};
     const report_effect effect = job_ledger::take_report(*job, report, agent.number, now);
     if (!is_final(report.state) && effect != report_effect::nothing)
-        agent.runs.insert(report.run);
+        agent.runs.try_emplace(report.run, 0);
     if (report.end_number != 0 && job->is_kept())
         job->unrecorded.push_back({agent.number, report.backend_life, report.end_number, now});
     learn(agent, *job, report, copy, now);
@@ -731,9 +732,9 @@
     for (auto& [number, agent] : agents_.all()) {
         if (agent.link != 0 || agent.runs.empty())
             continue;
-        const std::set<run_ref> runs = agent.runs;
+        const std::map<run_ref, std::uint64_t> runs = agent.runs;
         bool has_lost = false;
-        for (const run_ref& run : runs) {
+        for (const auto& [run, start] : runs) {
             const ledger_job* job = ledger_.find(run.task.job);
             const bool is_kept = job != nullptr && job->is_kept();
             if (now < agent.heard + (is_kept ? owner_contact_lease : caller_contact_lease) + lease)
@@ -948,7 +949,6 @@
         start.run = task.run;
         start.needs = job.step(planned.task.step).task_needs;
         start.checkpoint = task.checkpoint;
-        agents_.by_number(planned.agent)->runs.insert({planned.task, task.run});
         message.runs.push_back(std::move(start));
     }
     for (auto& [key, message] : messages) {
@@ -965,6 +965,8 @@
         for (const run_start& start : message.runs)
             needs += start.needs;
         agent.unseen.emplace_back(++agent.starts_sent, needs);
+        for (const run_start& start : message.runs)
+            agent.runs[{{job.id, start.occurrence, start.step, start.index}, start.run}] = agent.starts_sent;
         note("placed tasks", job.id,
              {{"agent", agent.name},
               {"tasks", static_cast<std::int64_t>(message.runs.size())},
@@ -998,7 +1000,7 @@
         ledger_.erase(id);
     }
     for (auto& [number, agent] : agents_.all()) {
-        std::erase_if(agent.runs, [&](const run_ref& run) { return ledger_.find(run.task.job) == nullptr; });
+        std::erase_if(agent.runs, [&](const auto& run) { return ledger_.find(run.first.task.job) == nullptr; });
         agent.is_session_introduced = false;
     }
 }
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -45,7 +45,7 @@
 std::size_t count_of_step(const agent_view& agent, const task_ref& step,
                           const std::vector<planned_run>& planned) {
     const auto running = std::count_if(agent.runs.begin(), agent.runs.end(),
-                                       [&](const run_ref& run) { return is_same_step(run.task, step); });
+                                       [&](const auto& run) { return is_same_step(run.first.task, step); });
     const auto chosen = std::count_if(planned.begin(), planned.end(), [&](const planned_run& run) {
         return run.agent == agent.number && is_same_step(run.task, step);
     });
