Leave the deployment only after the last job, and end the process at once

Cause: an entry that ends withdrew its record in the first moment without a job, while it still accepted some; agents then closed their connections to it, because the other entries no longer named it. Responses that nobody could receive any more kept the count of open requests up, so the process used its whole grace period; and static objects of the logging library, or connections that told a destroyed listener, held up or broke its exit. Change: it leaves from the time on at which it refuses jobs; agents keep open connections to addresses that are no longer named; a request counts as open while somebody can answer it; the process ends without static destructors.

--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -1151,7 +1151,7 @@
             missing.push_back({agent.name, agent.profile.zone});
     }
     keeper_.need_agents(missing, now);
-    if (is_shutting_down_ && !keeper_.has_left()) {
+    if (now >= refuse_at_ && !keeper_.has_left()) {
         if (ledger_.jobs().empty() || now >= hand_over_at_)
             keeper_.leave(ledger_.jobs().empty(), now);
     }
--- a/daemon/link_hub.cpp
+++ b/daemon/link_hub.cpp
@@ -35,12 +35,20 @@
     listener_->start();
 }
 
-void link_hub::set_dialed(const std::set<std::string>& addresses) {
-    dialer_.set_addresses(addresses);
+void link_hub::set_dialed(std::set<std::string> addresses) {
+    wanted_ = std::move(addresses);
+    dial();
+}
+
+// An address that is wanted again gets no second connection while the former one is open.
+void link_hub::dial() {
+    std::set<std::string> addresses = wanted_;
     for (const auto& [link, open] : links_) {
-        if (!open.dialed_address.empty() && !addresses.contains(open.dialed_address))
-            open.connection->close("the address is not needed any more");
+        if (!dialed_.contains(open.dialed_address))
+            addresses.erase(open.dialed_address);
     }
+    dialed_ = addresses;
+    dialer_.set_addresses(addresses);
 }
 
 void link_hub::open(const std::shared_ptr<frame_connection>& connection, const std::string& dialed_address) {
@@ -58,16 +66,23 @@
                       {{"link", link}});
             close(link, "malformed frame");
         },
-        [this, link, dialed_address](const std::string& reason) {
-            log_event(log_level::info, component, "connection closed", {{"link", link}, {"reason", reason}});
-            links_.erase(link);
-            if (!dialed_address.empty())
-                dialer_.lost(dialed_address);
-            on_event_.closed(link);
+        [this, link](const std::string& reason) {
+            closed(link, reason);
         });
     on_event_.opened(link, !dialed_address.empty());
 }
 
+void link_hub::closed(link_number link, const std::string& reason) {
+    log_event(log_level::info, component, "connection closed", {{"link", link}, {"reason", reason}});
+    const std::string address = links_[link].dialed_address;
+    links_.erase(link);
+    if (dialed_.contains(address))
+        dialer_.lost(address);
+    else
+        dial();
+    on_event_.closed(link);
+}
+
 void link_hub::send(link_number link, const work_message& message) {
     const auto found = links_.find(link);
     if (found == links_.end())
@@ -84,6 +99,7 @@
 }
 
 void link_hub::stop() {
+    wanted_.clear();
     if (listener_)
         listener_->stop();
     dialer_.stop();
--- a/daemon/link_hub.h
+++ b/daemon/link_hub.h
@@ -31,8 +31,8 @@
 
     // Accepts connections at "ip:port". Throws std::system_error if it cannot be bound.
     void listen(const std::string& address);
-    // Keeps a connection to each of these addresses, and closes those to others.
-    void set_dialed(const std::set<std::string>& addresses);
+    // Keeps a connection to each of these addresses. Those to others stay until they break.
+    void set_dialed(std::set<std::string> addresses);
 
     // Messages to a closed link are dropped; its peer learns what it missed when it connects again.
     void send(link_number link, const work_message& message);
@@ -44,6 +44,8 @@
 
 private:
     void open(const std::shared_ptr<frame_connection>& connection, const std::string& dialed_address);
+    void closed(link_number link, const std::string& reason);
+    void dial();
 
     asio::io_context& context_;
     const clock_source& clock_;
@@ -56,6 +58,9 @@
         std::string dialed_address;
     };
     std::map<link_number, open_link> links_;
+    std::set<std::string> wanted_;
+    // Addresses with a connector, which makes a new connection when the present one is lost.
+    std::set<std::string> dialed_;
     link_number last_link_ = 0;
     std::size_t bytes_sent_ = 0;
 };
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include "transport/system_clock_source.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -65,7 +66,10 @@
             platform::run_entry(settings, settings_path);
         else
             platform::run_agent(settings, settings_path);
-        return exit_done;
+        // The logging library waits for its worker threads when static objects are destroyed, which has taken
+        // longer than the platform's grace period.
+        std::cout.flush();
+        std::quick_exit(exit_done);
     }
     if (settings.role == daemon_role::entry) {
         entry_daemon daemon{settings, clock};
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -29,6 +29,9 @@
             on_close_(notice.connection_id());
     }
 
+    // Connections are destroyed with the context, when what the handler refers to may be gone.
+    void disable() { on_close_ = nullptr; }
+
 private:
     http_close_handler on_close_;
 };
@@ -119,6 +122,7 @@
     }
 
     void stop() {
+        listener_->disable();
         stop_accepting();
         if (!threaded_)
             return;
@@ -131,7 +135,8 @@
     restinio::server_settings_t<server_traits>
     make_settings(const ip_endpoint& address, const http_limits& limits, http_close_handler on_close) {
         auto settings = restinio::server_settings_t<server_traits>{};
-        settings.connection_state_listener(std::make_shared<close_listener>(std::move(on_close)));
+        listener_ = std::make_shared<close_listener>(std::move(on_close));
+        settings.connection_state_listener(listener_);
         settings.address(address.address)
             .port(address.port)
             .request_handler([this](const restinio::request_handle_t& request) { return handle(request); })
@@ -157,11 +162,12 @@
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t& request) {
         ++open_requests_;
-        const auto written = [this](const auto&) {
-            --open_requests_;
-        };
-        handler_(to_request(*request, kept_headers_), [request, written](const http_response& response) {
-            send_response(request, response, written);
+        // A request is over when its response was written, or when nobody can respond to it any more.
+        const std::shared_ptr<void> open{nullptr, [this](void*) {
+                                             --open_requests_;
+                                         }};
+        handler_(to_request(*request, kept_headers_), [request, open](const http_response& response) {
+            send_response(request, response, [open](const auto&) {});
         });
         return restinio::request_accepted();
     }
@@ -171,6 +177,7 @@
     std::vector<std::string> kept_headers_;
     std::uint16_t port_ = 0;
     bool is_accepting_ = true;
+    std::shared_ptr<close_listener> listener_;
     restinio::running_server_handle_t<server_traits> threaded_;
     std::unique_ptr<restinio::http_server_t<server_traits>> shared_;
 };
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -78,7 +78,7 @@
 
     // "ip:port" with the port that the system chose if 0 was asked for.
     const std::string& address() const { return address_; }
-    // Requests whose response has not been written completely.
+    // Requests whose response has not been written completely, without those that nobody answers any more.
     std::size_t open_requests() const;
     // Takes no more connections; those that are open go on. Only for a server on a context of the caller.
     void stop_accepting();
