Split the entry's decisions by topic and claim runs before lists are trusted

Reports that were not sent yet were dropped when a list followed. Change: waiting callers, ended jobs, orphan runs and the health of backend servers are classes of their own, entry_core is in five files; orphans come first, claimed runs are kept out of earlier lists, reports go before lists; a repeated submission of an ended job that is not kept gets its state.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -493,10 +493,11 @@
     const link_state& state = links_[link];
     if (state.process.name.empty())
         return;
+    // Runs without a known owner come first, or their owner would take them for lost.
+    send_inventory(link, {}, now);
     send_inventory(link, state.process, now);
     if (!state.session.name.empty())
         send_inventory(link, state.session, now);
-    send_inventory(link, {}, now);
     for (const auto& [former, successor] : deposed_) {
         if (successor == state.session)
             output_.messages.emplace_back(link, run_inventory{former, {}, state.starts_seen});
@@ -828,8 +829,8 @@
     });
     if (owner.name.empty() && inventory.reports.empty())
         return;
-    // What was reported singly is contained in the list.
-    links_[link].reports.clear();
+    // The list does not contain runs whose end was only reported, so the reports go first.
+    send_reports(link, links_[link], now);
     output_.messages.emplace_back(link, std::move(inventory));
 }
 
@@ -862,20 +863,25 @@
 
 void agent_core::flush_reports(time_point now) {
     for (auto& [link, state] : links_) {
-        const agent_room room = room_for(state);
-        const bool room_changed = !(room.free == state.told.free && room.queued == state.told.queued &&
-                                    room.starts_seen == state.told.starts_seen);
-        if (state.reports.empty() && (!room_changed || now - state.told_at < limits_.room_interval))
-            continue;
-        run_reports message;
-        message.reports.swap(state.reports);
-        message.room = room;
-        state.told = room;
-        state.told_at = now;
-        output_.messages.emplace_back(link, std::move(message));
+        const bool is_due = has_new_room(state) && now - state.told_at >= limits_.room_interval;
+        if (is_due || !state.reports.empty())
+            send_reports(link, state, now);
     }
 }
 
+bool agent_core::has_new_room(const link_state& link) const {
+    return !(room_for(link) == link.told);
+}
+
+void agent_core::send_reports(link_number link, link_state& state, time_point now) {
+    run_reports message;
+    message.reports.swap(state.reports);
+    message.room = room_for(state);
+    state.told = message.room;
+    state.told_at = now;
+    output_.messages.emplace_back(link, std::move(message));
+}
+
 // ---- Time ----
 
 void agent_core::begin_shutdown(time_point now) {
@@ -912,8 +918,7 @@
     if (!queue_.empty())
         next = std::min(next, now + limits_.queue_patience / 4);
     for (const auto& [link, state] : links_) {
-        const agent_room room = room_for(state);
-        if (!(room.free == state.told.free && room.queued == state.told.queued))
+        if (has_new_room(state))
             next = std::min(next, state.told_at + limits_.room_interval);
     }
     if (runs_.active_count() > 0)
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -134,6 +134,8 @@
     agent_profile profile() const;
     agent_room room_for(const link_state& link) const;
     void flush_reports(time_point now);
+    bool has_new_room(const link_state& link) const;
+    void send_reports(link_number link, link_state& state, time_point now);
     bool is_zone_out() const;
 
     void note(std::string_view what, const job_id& job,
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/agent_output.h"
+#include "coordination/backend_health.h"
 #include "coordination/ledger_task.h"
 #include "coordination/speed_estimate.h"
 #include "state/agent_profile.h"
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -17,6 +19,9 @@
 
 // What an entry knows of one agent and the backend server beside it.
 struct agent_view {
+    // Stands for the start message of a run that was claimed after the agent had restarted.
+    static constexpr std::uint64_t claimed = std::numeric_limits<std::uint64_t>::max();
+
     agent_number number = 0;
     std::string name;
     // 0 while not connected.
@@ -40,11 +45,7 @@
     time_point heard{};
     // Run time in units of the expected one.
     speed_estimate slowness{16};
-    // Failed runs of different jobs in a row.
-    std::uint32_t failures_in_a_row = 0;
-    job_id last_failed;
-    time_point avoided_until{};
-    milliseconds avoid_time{0};
+    backend_health health;
 
     // Room that is left when everything that was sent has arrived.
     resources free() const {
--- /dev/null
+++ b/coordination/ended_jobs.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/job_state.h"
+#include "state/time.h"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace persimmonstile {
+
+// Jobs that have ended lately, so that their callers can still ask, and a repeated submission starts nothing.
+class ended_jobs {
+public:
+    struct ended_job {
+        job_state state = job_state::unknown;
+        // Its record is in the store.
+        bool is_kept = true;
+    };
+
+    void add(const job_id& job, const ended_job& ended, time_point now) {
+        jobs_[job] = ended;
+        order_.emplace_back(now, job);
+    }
+
+    // Null if the job has not ended, or long ago.
+    const ended_job* find(const job_id& job) const {
+        const auto found = jobs_.find(job);
+        return found == jobs_.end() ? nullptr : &found->second;
+    }
+
+    // Removes and returns a job that ended at this time or before; empty if there is none.
+    std::optional<std::pair<job_id, ended_job>> take_older(time_point limit) {
+        if (order_.empty() || order_.front().first > limit)
+            return std::nullopt;
+        const job_id job = std::move(order_.front().second);
+        order_.pop_front();
+        const auto node = jobs_.extract(job);
+        return std::pair{job, node.empty() ? ended_job{} : node.mapped()};
+    }
+
+private:
+    std::unordered_map<job_id, ended_job> jobs_;
+    std::deque<std::pair<time_point, job_id>> order_;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/entry_agents.cpp
@@ -0,0 +1,308 @@
+#include "coordination/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+void entry_core::welcome(const agent_view& agent) {
+    if (agent.link == 0)
+        return;
+    entry_welcome message;
+    message.process = process_;
+    message.session = session();
+    message.entry_addresses = entry_addresses();
+    if (config_) {
+        message.zones_out.assign(config_->zones_out.begin(), config_->zones_out.end());
+        message.zones_version = config_->zones_version;
+    }
+    output_.messages.emplace_back(agent.link, std::move(message));
+}
+
+std::vector<std::string> entry_core::entry_addresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& [name, state] : members().entries())
+        addresses.push_back(state.record.peer_address);
+    return addresses;
+}
+
+void entry_core::welcome_all() {
+    told_addresses_ = entry_addresses();
+    for (const auto& [number, agent] : agents_.all())
+        welcome(agent);
+}
+
+void entry_core::receive(link_number link, const agent_profile& profile, time_point) {
+    agent_view& agent = agents_.by_name(profile.agent.name);
+    const bool is_new_link = agent.link != link;
+    const bool is_new_backend =
+        agent.profile.backend.id != profile.backend.id || agent.profile.backend.life != profile.backend.life;
+    agent.profile = profile;
+    if (is_new_backend) {
+        agent.slowness = speed_estimate{16};
+        agent.health = {};
+    }
+    if (is_new_link) {
+        agents_.connect(agent, link);
+        note("agent connected", {}, {{"agent", agent.name}, {"accepts", profile.accepts_runs ? 1 : 0}});
+        welcome(agent);
+        for (const auto& [former, state] : successions_) {
+            if (!state.is_settled)
+                output_.messages.emplace_back(link, owner_succession{former, session()});
+        }
+        agent.room = profile.room;
+    } else {
+        take_room(agent, profile.room);
+    }
+    agent.is_recorded = members().agents().contains(agent.name);
+    is_plan_needed_ = true;
+}
+
+void entry_core::receive(link_number link, const view_ping& ping, time_point now) {
+    agent_view* agent = agents_.by_link(link);
+    if (agent == nullptr)
+        return;
+    output_.messages.emplace_back(link, owner_pong{ping.sent_ns, is_owner_certain(now)});
+    agent->heard = now;
+}
+
+// An entry that may have been deposed without knowing must not keep runs going.
+bool entry_core::is_owner_certain(time_point now) const {
+    return session().number != 0 && now - keeper_.last_contact() < limits_.store_silence_limit;
+}
+
+void entry_core::take_room(agent_view& agent, const agent_room& room) {
+    agent.room = room;
+    while (!agent.unseen.empty() && agent.unseen.front().first <= room.starts_seen)
+        agent.unseen.pop_front();
+    is_plan_needed_ = true;
+}
+
+void entry_core::receive(link_number link, const run_reports& message, time_point now) {
+    agent_view* agent = agents_.by_link(link);
+    if (agent == nullptr)
+        return;
+    for (const run_report& report : message.reports)
+        take_report(*agent, report, now);
+    take_room(*agent, message.room);
+}
+
+void entry_core::receive(link_number link, const run_inventory& message, time_point now) {
+    agent_view* agent = agents_.by_link(link);
+    if (agent == nullptr)
+        return;
+    if (message.owner.name.empty()) {
+        claim(*agent, message, now);
+        return;
+    }
+    std::set<run_ref> listed;
+    for (const run_report& report : message.reports) {
+        listed.insert(report.run);
+        take_report(*agent, report, now);
+    }
+    if (message.owner != session() && message.owner != process_) {
+        confirm(agent->name, message.owner);
+        return;
+    }
+    // What the agent does not know has not started there and never will.
+    const bool is_kept = message.owner == session();
+    const std::map<run_ref, std::uint64_t> believed = agent->runs;
+    for (const auto& [run, start] : believed) {
+        const ledger_job* job = ledger_.find(run.task.job);
+        if (start <= message.starts_seen && !listed.contains(run) &&
+            (job == nullptr || job->is_kept() == is_kept))
+            lose_run(*agent, run, now);
+    }
+    (is_kept ? agent->is_session_introduced : agent->is_introduced) = true;
+    is_plan_needed_ = true;
+}
+
+// Takes over the runs of own jobs that a restarted agent found at its backend server.
+void entry_core::claim(agent_view& agent, const run_inventory& orphans, time_point now) {
+    claim_runs kept{session(), true, {}};
+    claim_runs unkept{process_, false, {}};
+    for (const run_report& report : orphans.reports) {
+        ledger_job* job = ledger_.find(report.run.task.job);
+        if (job == nullptr) {
+            // Nobody else will record the end of a job that has ended here.
+            if (ended_.find(report.run.task.job) != nullptr && report.end_number != 0)
+                acknowledge(agent.number, report.backend_life, report.end_number);
+            else
+                orphans_.add(agent.number, report, now);
+            continue;
+        }
+        if (report.run.task.step < job->record->plan.steps.size())
+            (job->is_kept() ? kept : unkept)
+                .runs.push_back({report.run, job->step(report.run.task.step).task_needs});
+        take_report(agent, report, now);
+        // Lists that the agent made before the claim do not contain the run.
+        const auto run = agent.runs.find(report.run);
+        if (run != agent.runs.end())
+            run->second = agent_view::claimed;
+    }
+    for (claim_runs* message : {&kept, &unkept}) {
+        if (!message->runs.empty())
+            output_.messages.emplace_back(agent.link, std::move(*message));
+    }
+}
+
+// One entry is enough to ask the store.
+bool entry_core::is_first_entry() const {
+    return std::all_of(peers_.begin(), peers_.end(),
+                       [&](const auto& entry) { return name_ < entry.second.name; });
+}
+
+void entry_core::orphan_checked(std::uint64_t question, const store_reply& answer, time_point now) {
+    const std::optional<orphan_runs::orphan> unclaimed = orphans_.answered(question, answer, now);
+    if (!unclaimed)
+        return;
+    const agent_view* agent = agents_.by_number(unclaimed->agent);
+    if (agent == nullptr || agent->link == 0)
+        return;
+    if (unclaimed->report.end_number != 0)
+        acknowledge(unclaimed->agent, unclaimed->report.backend_life, unclaimed->report.end_number);
+    else
+        output_.messages.emplace_back(agent->link, stop_runs{process_, {unclaimed->report.run}});
+}
+
+// The run has ended without a result, or never started.
+void entry_core::lose_run(agent_view& agent, const run_ref& run, time_point now) {
+    run_report report;
+    report.run = run;
+    report.state = run_state::lapsed;
+    take_report(agent, report, now);
+    agent.runs.erase(run);
+}
+
+void entry_core::take_report(agent_view& agent, const run_report& report, time_point now) {
+    const job_id& id = report.run.task.job;
+    if (is_final(report.state))
+        agent.runs.erase(report.run);
+    ledger_job* job = ledger_.find(id);
+    if (job == nullptr || job->phase == job_phase::ended) {
+        if (report.end_number != 0)
+            acknowledge(agent.number, report.backend_life, report.end_number);
+        return;
+    }
+    const ledger_task* before = job_ledger::find_task(*job, report.run.task);
+    const ledger_task copy = before != nullptr ? *before : ledger_task{};
+    const report_effect effect = job_ledger::take_report(*job, report, agent.number, now);
+    if (!is_final(report.state) && effect != report_effect::nothing)
+        agent.runs.try_emplace(report.run, 0);
+    if (report.end_number != 0 && job->is_kept())
+        job->unrecorded.push_back({agent.number, report.backend_life, report.end_number, now});
+    learn(agent, *job, report, copy, now);
+    switch (effect) {
+    case report_effect::nothing:
+        return;
+    case report_effect::started:
+        note_begin(*job);
+        return;
+    case report_effect::done:
+        note_begin(*job);
+        task_done(*job, report.run.task, now);
+        return;
+    case report_effect::failed: {
+        const ledger_task* task = job_ledger::find_task(*job, report.run.task);
+        note("run failed", id,
+             {{"step", report.run.task.step},
+              {"task", report.run.task.index},
+              {"run", static_cast<std::int64_t>(report.run.run)},
+              {"agent", agent.name},
+              {"failures", task->failures},
+              {"attempts", job->record->attempts}},
+             true);
+        if (task->failures >= job->record->attempts && job->phase == job_phase::open)
+            end_job(*job, job_state::failed, now);
+        is_plan_needed_ = true;
+        return;
+    }
+    case report_effect::waiting:
+        note("run ended without a result", id,
+             {{"step", report.run.task.step},
+              {"task", report.run.task.index},
+              {"run", static_cast<std::int64_t>(report.run.run)},
+              {"agent", agent.name},
+              {"state", std::string{to_string(report.state)}},
+              {"reason", std::string{to_string(report.reason)}}});
+        is_plan_needed_ = true;
+        return;
+    }
+}
+
+void entry_core::learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task,
+                       time_point now) {
+    if (report.state == run_state::done && task.run == report.run.run && report.run_us > 0 &&
+        report.run.task.step < job.record->plan.steps.size()) {
+        agent.health.succeeded();
+        const milliseconds estimate = job.step(report.run.task.step).estimate();
+        const std::string& queue = job.record->queue;
+        const double expected = times_.expected_seconds(queue, estimate);
+        const double measured = std::chrono::duration<double>{report.run_time()}.count();
+        times_.observe(queue, estimate, report.run_time(), agent.slowness.value_or(1.0));
+        if (expected > 0)
+            agent.slowness.observe(measured / expected, 1.0);
+    }
+    const bool is_bad =
+        report.state == run_state::failed ||
+        (report.state == run_state::stopped && report.reason == run_refusal::stalled) ||
+        (report.state == run_state::refused && report.reason == run_refusal::unhealthy_backend);
+    if (is_bad && agent.health.failed(report.run.task.job, now)) {
+        const milliseconds pause =
+            std::chrono::duration_cast<milliseconds>(agent.health.avoided_until() - now);
+        note("backend server is avoided", {}, {{"agent", agent.name}, {"for_ms", pause.count()}}, true);
+    }
+}
+
+void entry_core::note_begin(ledger_job& job) {
+    job.has_begun = true;
+    if (job.state == job_state::queued)
+        job.state = job_state::running;
+}
+
+void entry_core::task_done(ledger_job& job, const task_ref& task, time_point now) {
+    ledger_occurrence& occurrence = job.occurrences[task.occurrence];
+    is_plan_needed_ = true;
+    const bool is_over = std::all_of(occurrence.remaining.begin(), occurrence.remaining.end(),
+                                     [](std::uint32_t remaining) { return remaining == 0; });
+    if (!is_over)
+        return;
+    if (--job.occurrences_left == 0 && job.phase == job_phase::open)
+        end_job(job, job_state::completed, now);
+}
+
+void entry_core::acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number) {
+    acknowledgements_[{agent, life}].push_back(number);
+}
+
+void entry_core::acknowledge_all(ledger_job& job) {
+    for (const unrecorded_end& end : job.unrecorded)
+        acknowledge(end.agent, end.backend_life, end.number);
+    job.unrecorded.clear();
+}
+
+// Runs at an agent that has been away for long enough have ended, whatever happened to it.
+void entry_core::give_up_unreachable(time_point now) {
+    const milliseconds lease = limits_.run_lease_bound();
+    for (auto& [number, agent] : agents_.all()) {
+        if (agent.link != 0 || agent.runs.empty())
+            continue;
+        const std::map<run_ref, std::uint64_t> runs = agent.runs;
+        bool has_lost = false;
+        for (const auto& [run, start] : runs) {
+            const ledger_job* job = ledger_.find(run.task.job);
+            const bool is_kept = job != nullptr && job->is_kept();
+            if (now < agent.heard + (is_kept ? owner_contact_lease : caller_contact_lease) + lease)
+                continue;
+            lose_run(agent, run, now);
+            has_lost = true;
+        }
+        if (!has_lost)
+            continue;
+        note("runs of an unreachable agent have ended", {},
+             {{"agent", agent.name}, {"runs", static_cast<std::int64_t>(runs.size() - agent.runs.size())}},
+             true);
+    }
+}
+
+} // namespace persimmonstile
--- /dev/null
+++ b/coordination/entry_callers.cpp
@@ -0,0 +1,266 @@
+#include "coordination/entry_core.h"
+#include "coordination/queue_router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// A refused caller may come back after this time if nothing better is known.
+constexpr milliseconds usual_retry{1000};
+
+// A reply has to leave this long before its caller gives up.
+constexpr milliseconds reply_margin{40};
+
+} // namespace
+
+std::shared_ptr<open_job> entry_core::make_record(const job_submission& request, const queue_policy& queue,
+                                                  std::int64_t accepted_ms) {
+    auto record = std::make_shared<open_job>();
+    record->queue = queue.name;
+    record->service = queue.service;
+    record->attempts = std::max<std::uint32_t>(1, queue.attempts);
+    record->accepted_ms = accepted_ms;
+    record->plan = request.plan;
+    return record;
+}
+
+bool entry_core::is_store_failing(time_point now) const {
+    return commits_.failing_since() && now - *commits_.failing_since() >= limits_.store_failure_patience;
+}
+
+void entry_core::refuse(const job_submission& request, submit_refusal reason, milliseconds retry_after) {
+    note("refused a job", request.job, {{"queue", request.queue}, {"reason", std::string{to_string(reason)}}},
+         true);
+    output_.replies.push_back(
+        {request.token, caller_reply_kind::refused, job_state::unknown, reason, retry_after});
+}
+
+void entry_core::submit(const job_submission& request, time_point now, wall_time wall) {
+    wall_ = wall;
+    if (const auto* ended = ended_.find(request.job)) {
+        reply(request.token, ended->is_kept ? caller_reply_kind::accepted : caller_reply_kind::state,
+              ended->state);
+        return;
+    }
+    if (const ledger_job* known = ledger_.find(request.job)) {
+        if (!known->is_kept()) {
+            ending_.add(request.job, {request.token, request.answer_by - reply_margin, false});
+            ledger_.find(request.job)->answer_by =
+                std::max(known->answer_by, request.answer_by - reply_margin);
+        } else if (known->phase == job_phase::accepting)
+            accepting_.add(request.job, {request.token, request.answer_by - reply_margin, false});
+        else
+            reply(request.token, caller_reply_kind::accepted, known->state);
+        return;
+    }
+    if (now >= refuse_at_) {
+        refuse(request, submit_refusal::shutting_down, milliseconds{0});
+        return;
+    }
+    const queue_policy* queue = config_ ? find_queue_named(*config_, request.queue) : nullptr;
+    if (queue == nullptr) {
+        refuse(request, submit_refusal::no_configuration, usual_retry);
+        return;
+    }
+    if (!request.plan.is_kept) {
+        submit_unkept(request, *queue, now);
+        return;
+    }
+    if (!commits_.has_session()) {
+        refuse(request, submit_refusal::no_session, usual_retry);
+        return;
+    }
+    if (is_store_failing(now)) {
+        refuse(request, submit_refusal::store_unavailable, usual_retry);
+        return;
+    }
+    auto record = make_record(request, *queue, calendar_ms(wall));
+    ledger_.add(request.job, record, session(), 0, now);
+    accepting_.add(request.job, {request.token, request.answer_by - reply_margin, false});
+    commits_.add({request.job, commit_accept{record}}, now);
+}
+
+// A job that lives with its caller's call: nothing is written, and its runs end with the last caller.
+void entry_core::submit_unkept(const job_submission& request, const queue_policy& queue, time_point now) {
+    ledger_job& job =
+        ledger_.add(request.job, make_record(request, queue, calendar_ms(wall_)), process_, 0, now);
+    job.phase = job_phase::open;
+    job.answer_by = request.answer_by - reply_margin;
+    ending_.add(request.job, {request.token, job.answer_by, false});
+    is_plan_needed_ = true;
+    note("accepted a job", request.job, {{"queue", queue.name}, {"kept", 0}});
+}
+
+void entry_core::finish_unkept(ledger_job& job, job_state state, time_point now) {
+    const job_id id = job.id;
+    job.state = state;
+    stop_runs_of(job);
+    note("job ended", id,
+         {{"state", std::string{to_string(state)}},
+          {"queue", job.record->queue},
+          {"total_us", std::chrono::duration_cast<microseconds>(now - job.accepted).count()}});
+    acknowledge_all(job);
+    ended_.add(id, {state, false}, now);
+    answer_waiting(id, state);
+    ledger_.erase(id);
+}
+
+// Nobody waits for the job any more.
+void entry_core::drop_unkept(const job_id& id) {
+    ledger_job* job = ledger_.find(id);
+    if (job == nullptr || job->is_kept())
+        return;
+    note("dropped a job whose callers have left", id, {{"queue", job->record->queue}}, true);
+    stop_runs_of(*job);
+    acknowledge_all(*job);
+    ledger_.erase(id);
+    ending_.take(id);
+    is_plan_needed_ = true;
+}
+
+void entry_core::drop_expired(time_point now) {
+    std::vector<job_id> expired;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (!job.is_kept() && now >= job.answer_by)
+            expired.push_back(id);
+    }
+    for (const job_id& id : expired) {
+        // Runs have been started, so only this is true.
+        for (const waiting_caller& caller : ending_.take(id))
+            reply(caller.token, caller_reply_kind::uncertain);
+        drop_unkept(id);
+    }
+}
+
+void entry_core::caller_left(caller_token token) {
+    if (accepting_.remove(token))
+        return;
+    const std::optional<job_id> job = ending_.remove(token);
+    if (job && !ending_.has_callers(*job))
+        drop_unkept(*job);
+}
+
+// The end of the job is certain.
+void entry_core::answer_waiting(const job_id& job, job_state state) {
+    for (const waiting_caller& caller : ending_.take(job))
+        reply(caller.token, caller.is_cancel ? caller_reply_kind::cancelled : caller_reply_kind::state,
+              state);
+}
+
+const incarnation& entry_core::owner_of(const ledger_job& job) const {
+    return job.is_kept() ? session() : process_;
+}
+
+void entry_core::ask_state(caller_token token, const job_id& job, time_point answer_by, time_point now) {
+    if (const auto* ended = ended_.find(job)) {
+        reply(token, caller_reply_kind::state, ended->state);
+        return;
+    }
+    const ledger_job* known = ledger_.find(job);
+    if (known == nullptr) {
+        locator_.ask(token, job, false, answer_by - reply_margin, now);
+        return;
+    }
+    if (known->phase == job_phase::ending) {
+        // Its end is on the way to the store; the answer is worth the few milliseconds.
+        ending_.add(job, {token, std::min(now + limits_.ending_wait, answer_by - reply_margin), false});
+        return;
+    }
+    reply(token, caller_reply_kind::state, known->state);
+}
+
+void entry_core::cancel(caller_token token, const job_id& job, time_point answer_by, time_point now,
+                        wall_time wall) {
+    wall_ = wall;
+    if (const auto* ended = ended_.find(job)) {
+        reply(token, caller_reply_kind::cancelled, ended->state);
+        return;
+    }
+    ledger_job* known = ledger_.find(job);
+    if (known == nullptr || known->phase == job_phase::accepting)
+        locator_.ask(token, job, true, answer_by - reply_margin, now);
+    else
+        cancel_own(*known, token, answer_by - reply_margin, now);
+}
+
+void entry_core::cancel_own(ledger_job& job, caller_token token, time_point answer_by, time_point now) {
+    ending_.add(job.id, {token, answer_by, true});
+    if (job.phase != job_phase::open)
+        return;
+    note("cancelled a job", job.id, {{"queue", job.record->queue}});
+    end_job(job, job_state::cancelled, now);
+}
+
+void entry_core::answer_own(const job_locator::own_job& asked, time_point now) {
+    ledger_job* known = ledger_.find(asked.job);
+    if (const auto* ended = ended_.find(asked.job))
+        reply(asked.token, asked.is_cancel ? caller_reply_kind::cancelled : caller_reply_kind::state,
+              ended->state);
+    else if (known != nullptr && known->phase != job_phase::accepting && asked.is_cancel)
+        cancel_own(*known, asked.token, asked.answer_by, now);
+    else if (known != nullptr)
+        reply(asked.token, caller_reply_kind::state, known->state);
+    else if (asked.is_cancel)
+        // The jobs of a former session are still being read.
+        reply(asked.token, caller_reply_kind::uncertain);
+    else
+        reply(asked.token, caller_reply_kind::state, job_state::queued);
+}
+
+// Callers whose time is over get what can be said now.
+void entry_core::answer_late(time_point now) {
+    for (const auto& [id, caller] : accepting_.take_expired(now))
+        reply(caller.token, caller_reply_kind::uncertain);
+    for (const auto& [id, caller] : ending_.take_expired(now)) {
+        const ledger_job* job = ledger_.find(id);
+        if (caller.is_cancel || job == nullptr || !job->is_kept())
+            reply(caller.token, caller_reply_kind::uncertain);
+        else
+            reply(caller.token, caller_reply_kind::state,
+                  job->has_begun ? job_state::running : job_state::queued);
+    }
+}
+
+std::map<std::string, std::uint64_t> entry_core::own_counts() const {
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.is_kept() && job.phase == job_phase::open && job.state == job_state::queued)
+            ++counts[job.record->queue];
+    }
+    return counts;
+}
+
+std::uint64_t entry_core::pending(const std::string& queue) const {
+    std::uint64_t count = 0;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.is_kept() && job.phase == job_phase::open && job.state == job_state::queued &&
+            job.record->queue == queue)
+            ++count;
+    }
+    for (const auto& [link, peer] : peers_) {
+        const auto found = peer.counts.find(queue);
+        if (found != peer.counts.end())
+            count += found->second;
+    }
+    return count;
+}
+
+void entry_core::send_counts(time_point now) {
+    if (now - last_count_ < limits_.count_interval)
+        return;
+    last_count_ = now;
+    std::map<std::string, std::uint64_t> counts = own_counts();
+    if (counts == told_counts_)
+        return;
+    queue_counts message;
+    for (const auto& [queue, pending_jobs] : counts)
+        message.counts.push_back({queue, pending_jobs});
+    for (const auto& [link, peer] : peers_)
+        output_.messages.emplace_back(link, message);
+    told_counts_ = std::move(counts);
+}
+
+} // namespace persimmonstile
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -2,21 +2,23 @@
 
 #include "coordination/agent_directory.h"
 #include "coordination/commit_queue.h"
+#include "coordination/ended_jobs.h"
 #include "coordination/entry_limits.h"
 #include "coordination/entry_output.h"
 #include "coordination/job_ledger.h"
 #include "coordination/job_locator.h"
 #include "coordination/job_submission.h"
+#include "coordination/orphan_runs.h"
 #include "coordination/prefix_view.h"
 #include "coordination/run_planner.h"
 #include "coordination/run_time_model.h"
 #include "coordination/session_keeper.h"
 #include "coordination/succession.h"
+#include "coordination/waiting_callers.h"
 #include "state/clock_source.h"
 #include "state/deployment_config.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,8 +68,8 @@
 
     // New connections are welcome.
     bool is_ready() const;
-    // Refuses new jobs from refuse_at on, and hands the open ones to the other entries when all have ended, or at
-    // hand_over_at.
+    // Refuses new jobs from refuse_at on, and hands the open ones to the other entries when all have ended,
+    // or at hand_over_at.
     void begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point now);
     // Answers all callers that still wait, because the process ends now.
     void answer_all();
@@ -87,31 +89,8 @@
         std::map<std::string, std::uint64_t> counts;
     };
 
-    struct ended_job {
-        job_state state = job_state::unknown;
-        time_point at{};
-        // Its record is in the store.
-        bool is_kept = true;
-    };
-
-    // A caller that waits for the end of a job to be written, or for its acceptance.
-    struct waiting_caller {
-        caller_token token = 0;
-        time_point answer_by{};
-        bool is_cancel = false;
-    };
-
     enum class store_user : std::uint8_t { commits, keeper, locator, operators, orphans };
 
-    // A run without an owner, found by a restarted agent. If its job is not in the store, nobody claims it.
-    struct orphan_check {
-        agent_number agent = 0;
-        run_report report;
-        // 0 while the store is not being asked.
-        std::uint64_t call = 0;
-        time_point ask_at{};
-    };
-
     // Messages.
     void receive(link_number link, const agent_profile& profile, time_point now);
     void receive(link_number link, const view_ping& ping, time_point now);
@@ -128,7 +107,8 @@
     void welcome_all();
     std::vector<std::string> entry_addresses() const;
     void take_room(agent_view& agent, const agent_room& room);
-    void take_report(agent_view& agent, const run_report& report, bool is_own, time_point now);
+    void take_report(agent_view& agent, const run_report& report, time_point now);
+    static void note_begin(ledger_job& job);
     void learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task,
                time_point now);
     void task_done(ledger_job& job, const task_ref& task, time_point now);
@@ -137,8 +117,7 @@
     void acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number);
     void acknowledge_all(ledger_job& job);
     void claim(agent_view& agent, const run_inventory& orphans, time_point now);
-    void check_orphan(const agent_view& agent, const run_report& report, time_point now);
-    void orphan_checked(std::uint64_t call, const store_reply& answer, time_point now);
+    void orphan_checked(std::uint64_t question, const store_reply& answer, time_point now);
     bool is_first_entry() const;
 
     // Jobs.
@@ -159,6 +138,7 @@
     void cancel_own(ledger_job& job, caller_token token, time_point answer_by, time_point now);
     void reply(caller_token token, caller_reply_kind kind, job_state state = job_state::unknown);
     void refuse(const job_submission& request, submit_refusal reason, milliseconds retry_after);
+    void answer_waiting(const job_id& job, job_state state);
     void answer_late(time_point now);
     bool is_store_failing(time_point now) const;
     static std::shared_ptr<open_job> make_record(const job_submission& request, const queue_policy& queue,
@@ -198,17 +178,14 @@
     std::map<incarnation, succession> successions_;
 
     std::map<link_number, peer_state> peers_;
-    std::unordered_map<job_id, ended_job> ended_;
-    std::deque<std::pair<time_point, job_id>> ended_order_;
-    // By job; acceptances and ends.
-    std::unordered_map<job_id, std::vector<waiting_caller>> accepting_;
-    std::unordered_map<job_id, std::vector<waiting_caller>> ending_;
+    ended_jobs ended_;
+    // Callers that wait for the acceptance of a job, and for its end.
+    waiting_callers accepting_;
+    waiting_callers ending_;
+    orphan_runs orphans_;
     // Ends to be acknowledged, by agent and life.
     std::map<std::pair<agent_number, std::uint64_t>, std::vector<std::uint64_t>> acknowledgements_;
 
-    // By run.
-    std::map<run_ref, orphan_check> orphans_;
-    std::uint64_t last_orphan_call_ = 0;
     std::uint64_t last_store_id_ = 0;
     std::map<std::uint64_t, std::pair<store_user, std::uint64_t>> store_ids_;
     wall_time wall_{};
--- /dev/null
+++ b/coordination/entry_jobs.cpp
@@ -0,0 +1,220 @@
+#include "coordination/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// A refused caller may come back after this time if nothing better is known.
+constexpr milliseconds usual_retry{1000};
+
+} // namespace
+
+void entry_core::end_job(ledger_job& job, job_state state, time_point now) {
+    if (!job.is_kept()) {
+        finish_unkept(job, state, now);
+        return;
+    }
+    job.phase = job_phase::ending;
+    job.state = state;
+    job.ended = now;
+    stop_runs_of(job);
+    job_status status;
+    status.state = state;
+    status.owner = session();
+    status.ended_ms = calendar_ms(wall_);
+    commits_.add({job.id, commit_end{job.keeper, status}}, now);
+}
+
+void entry_core::stop_runs_of(const ledger_job& job) {
+    std::map<agent_number, stop_runs> messages;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<ledger_task>& tasks = occurrence.steps[step];
+            for (task_index index = 0; index < tasks.size(); ++index) {
+                const ledger_task& task = tasks[index];
+                if (task.phase == task_phase::placed || task.phase == task_phase::running)
+                    messages[task.agent].runs.push_back({{job.id, number, step, index}, task.run});
+            }
+        }
+    }
+    for (auto& [number, message] : messages) {
+        const agent_view* agent = agents_.by_number(number);
+        if (agent == nullptr || agent->link == 0)
+            continue;
+        message.owner = owner_of(job);
+        output_.messages.emplace_back(agent->link, std::move(message));
+    }
+}
+
+// Ends of jobs that go on are recorded with their progress, so that they can be acknowledged.
+void entry_core::write_progress(time_point now) {
+    for (auto& [id, job] : ledger_.jobs()) {
+        if (job.phase != job_phase::open || job.unrecorded.empty() || job.is_progress_written ||
+            now - job.unrecorded.front().reported < limits_.progress_delay)
+            continue;
+        job.is_progress_written = true;
+        job.record = job_ledger::record_with_progress(job);
+        job.progress_made = now;
+        commits_.add({id, commit_progress{job.keeper, job.record, job.revision}}, now);
+    }
+}
+
+void entry_core::begin_due_occurrences(time_point) {
+    const std::int64_t calendar = calendar_ms(wall_);
+    for (auto& [id, job] : ledger_.jobs()) {
+        if (job.phase == job_phase::open && job.record->plan.repeat_count > 0 &&
+            ledger_.begin_due(job, calendar))
+            is_plan_needed_ = true;
+    }
+}
+
+void entry_core::committed(const commit_result& result, time_point now) {
+    if (std::holds_alternative<commit_accept>(result.what.change)) {
+        accept_committed(result, now);
+        return;
+    }
+    if (std::holds_alternative<commit_end>(result.what.change)) {
+        end_committed(result, now);
+        return;
+    }
+    const auto* progress = std::get_if<commit_progress>(&result.what.change);
+    ledger_job* job = ledger_.find(result.what.job);
+    if (progress == nullptr || job == nullptr)
+        return;
+    job->is_progress_written = false;
+    if (result.outcome != commit_outcome::durable)
+        return;
+    job->revision = result.revision;
+    // Ends that came after the record was made wait for the next one.
+    std::vector<unrecorded_end> later;
+    for (const unrecorded_end& end : job->unrecorded) {
+        if (end.reported <= job->progress_made)
+            acknowledge(end.agent, end.backend_life, end.number);
+        else
+            later.push_back(end);
+    }
+    job->unrecorded = std::move(later);
+}
+
+void entry_core::accept_committed(const commit_result& result, time_point now) {
+    const job_id& id = result.what.job;
+    const std::vector<waiting_caller> callers = accepting_.take(id);
+    ledger_job* job = ledger_.find(id);
+    if (job == nullptr)
+        return;
+    switch (result.outcome) {
+    case commit_outcome::durable:
+        job->phase = job_phase::open;
+        job->revision = result.revision;
+        is_plan_needed_ = true;
+        note("accepted a job", id,
+             {{"queue", job->record->queue},
+              {"revision", static_cast<std::int64_t>(result.revision)},
+              {"waited_us", std::chrono::duration_cast<microseconds>(now - job->accepted).count()}});
+        for (const waiting_caller& caller : callers)
+            reply(caller.token, caller_reply_kind::accepted, job->state);
+        return;
+    case commit_outcome::conflict:
+        // Another entry has accepted the same job.
+        ledger_.erase(id);
+        for (const waiting_caller& caller : callers)
+            reply(caller.token, caller_reply_kind::accepted, result.present.state);
+        return;
+    case commit_outcome::abandoned:
+        note("refused a job", id,
+             {{"queue", job->record->queue}, {"reason", std::string{"store_unavailable"}}}, true);
+        ledger_.erase(id);
+        for (const waiting_caller& caller : callers)
+            output_.replies.push_back({caller.token, caller_reply_kind::refused, job_state::unknown,
+                                       submit_refusal::store_unavailable, usual_retry});
+        return;
+    }
+}
+
+void entry_core::end_committed(const commit_result& result, time_point now) {
+    const job_id& id = result.what.job;
+    ledger_job* job = ledger_.find(id);
+    if (job == nullptr)
+        return;
+    note("job ended", id,
+         {{"state", std::string{to_string(job->state)}},
+          {"queue", job->record->queue},
+          {"total_us", std::chrono::duration_cast<microseconds>(now - job->accepted).count()},
+          {"record_us", std::chrono::duration_cast<microseconds>(now - job->ended).count()}});
+    acknowledge_all(*job);
+    ended_.add(id, {job->state, true}, now);
+    answer_waiting(id, job->state);
+    ledger_.erase(id);
+}
+
+void entry_core::forget_old(time_point now) {
+    while (const auto old = ended_.take_older(now - limits_.retention)) {
+        if (old->second.is_kept)
+            commits_.add({old->first, commit_forget{}}, now);
+    }
+}
+
+void entry_core::place(time_point now) {
+    is_plan_needed_ = false;
+    if (!config_)
+        return;
+    const bool may_place_kept = is_owner_certain(now);
+    std::vector<ledger_job*> waiting;
+    for (auto& [id, job] : ledger_.jobs()) {
+        if (job.is_kept() && !may_place_kept)
+            continue;
+        if (job.phase == job_phase::open && job_ledger::count_placeable(job) > 0)
+            waiting.push_back(&job);
+    }
+    if (waiting.empty())
+        return;
+    send_starts(planner_.plan(std::move(waiting), agents_, times_, *config_, now), now);
+}
+
+void entry_core::send_starts(const std::vector<planned_run>& plan, time_point now) {
+    std::map<std::pair<agent_number, job_id>, start_runs> messages;
+    for (const planned_run& planned : plan) {
+        ledger_job& job = *ledger_.find(planned.task.job);
+        ledger_task& task = *job_ledger::find_task(job, planned.task);
+        task.run = std::max(task.run, job.run_base) + 1;
+        task.phase = task_phase::placed;
+        task.agent = planned.agent;
+        task.placed = now;
+        start_runs& message = messages[{planned.agent, job.id}];
+        run_start start;
+        start.occurrence = planned.task.occurrence;
+        start.step = planned.task.step;
+        start.index = planned.task.index;
+        start.run = task.run;
+        start.needs = job.step(planned.task.step).task_needs;
+        start.checkpoint = task.checkpoint;
+        message.runs.push_back(std::move(start));
+    }
+    for (auto& [key, message] : messages) {
+        agent_view& agent = *agents_.by_number(key.first);
+        const ledger_job& job = *ledger_.find(key.second);
+        message.owner = owner_of(job);
+        message.is_kept = job.is_kept();
+        if (!job.is_kept())
+            message.remaining_ms = std::max<std::int64_t>(
+                1, std::chrono::duration_cast<milliseconds>(job.answer_by - now).count());
+        message.job = key.second;
+        message.payload = job.record->plan.payload;
+        resources needs;
+        for (const run_start& start : message.runs)
+            needs += start.needs;
+        agent.unseen.emplace_back(++agent.starts_sent, needs);
+        for (const run_start& start : message.runs)
+            agent.runs[{{job.id, start.occurrence, start.step, start.index}, start.run}] = agent.starts_sent;
+        note("placed tasks", job.id,
+             {{"agent", agent.name},
+              {"tasks", static_cast<std::int64_t>(message.runs.size())},
+              {"free_millicores", agent.free().cpu_millicores}});
+        output_.messages.emplace_back(agent.link, std::move(message));
+    }
+}
+
+} // namespace persimmonstile
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -9,6 +9,12 @@
 struct entry_limits {
     // Longest lease of a backend server for what runs there; a setting of the platform.
     milliseconds longest_run_lease{1000};
+    // By when a run has ended whose lease was not renewed since: 2% of clock rate and the way of the last
+    // renewal are added.
+    milliseconds run_lease_bound() const {
+        constexpr milliseconds margin{150};
+        return longest_run_lease + longest_run_lease / 50 + margin;
+    }
     // Ended jobs are remembered for this long; a setting of the platform.
     milliseconds retention{150000};
     // An entry that has not heard of the store for so long does not count as the owner of its jobs any more.
--- /dev/null
+++ b/coordination/entry_sessions.cpp
@@ -0,0 +1,108 @@
+#include "coordination/entry_core.h"
+#include "coordination/store_keys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonstile {
+
+namespace {
+
+// Run numbers that one owner of a job may use before its successor's begin.
+constexpr run_number runs_per_owner = 1'000'000;
+
+} // namespace
+
+void entry_core::session_lost(time_point) {
+    note("session was lost; its jobs belong to a successor", {},
+         {{"jobs", static_cast<std::int64_t>(ledger_.jobs().size())}}, true);
+    std::vector<job_id> kept;
+    for (const auto& [id, job] : ledger_.jobs()) {
+        if (job.is_kept())
+            kept.push_back(id);
+    }
+    commits_.clear_session();
+    successions_.clear();
+    acknowledgements_.clear();
+    for (const job_id& id : kept) {
+        for (waiting_callers* waiting : {&accepting_, &ending_}) {
+            for (const waiting_caller& caller : waiting->take(id))
+                reply(caller.token, caller_reply_kind::uncertain);
+        }
+        ledger_.erase(id);
+    }
+    for (auto& [number, agent] : agents_.all()) {
+        std::erase_if(agent.runs,
+                      [&](const auto& run) { return ledger_.find(run.first.task.job) == nullptr; });
+        agent.is_session_introduced = false;
+    }
+}
+
+void entry_core::take_adopted(time_point now) {
+    for (session_keeper::adopted_jobs& adopted : keeper_.take_adopted()) {
+        const incarnation& former = adopted.record.former;
+        const std::string prefix = open_prefix(former);
+        succession& state = successions_[former];
+        state.record = adopted.record;
+        for (const auto& [name, agent] : members().agents())
+            state.unanswered.insert(name);
+        state.certain_at = now + owner_contact_lease + limits_.run_lease_bound() +
+                           (adopted.may_live ? limits_.store_silence_limit : milliseconds{0});
+        for (const store_item& item : adopted.jobs) {
+            const auto* record = std::get_if<open_job>(&item.value);
+            const job_id id = item.key.substr(prefix.size());
+            if (record == nullptr || ledger_.find(id) != nullptr)
+                continue;
+            ledger_job& job = ledger_.add(id, std::make_shared<open_job>(*record), former,
+                                          adopted.record.depth * runs_per_owner, now);
+            job.phase = job_phase::open;
+            job.revision = item.revision;
+            job.is_settled = false;
+            // Time that passed before the adoption counts for the caller.
+            const milliseconds age{
+                std::clamp<std::int64_t>(calendar_ms(wall_) - record->accepted_ms, 0, 600000)};
+            job.accepted = now - age;
+            note("adopted a job", id, {{"former", former.name}, {"age_ms", age.count()}});
+        }
+        for (const auto& [number, agent] : agents_.all()) {
+            if (agent.link != 0)
+                output_.messages.emplace_back(agent.link, owner_succession{former, session()});
+        }
+    }
+}
+
+void entry_core::confirm(const std::string& agent, const incarnation& former) {
+    const auto found = successions_.find(former);
+    if (found != successions_.end())
+        found->second.unanswered.erase(agent);
+}
+
+void entry_core::settle_successions(time_point now) {
+    for (auto it = successions_.begin(); it != successions_.end();) {
+        succession& state = it->second;
+        if (!state.is_settled && (state.unanswered.empty() || now >= state.certain_at)) {
+            state.is_settled = true;
+            note("runs of a former session are settled", {},
+                 {{"former", session_text(it->first)},
+                  {"unanswered", static_cast<std::int64_t>(state.unanswered.size())}});
+            for (auto& [id, job] : ledger_.jobs()) {
+                if (job.keeper == it->first)
+                    job.is_settled = true;
+            }
+            is_plan_needed_ = true;
+        }
+        const bool has_jobs =
+            std::any_of(ledger_.jobs().begin(), ledger_.jobs().end(),
+                        [&](const auto& entry) { return entry.second.keeper == it->first; });
+        if (state.is_settled && !has_jobs) {
+            keeper_.adoption_done(it->first, now);
+            if (!members().adoptions().contains(it->first)) {
+                it = successions_.erase(it);
+                continue;
+            }
+        }
+        ++it;
+    }
+}
+
+} // namespace persimmonstile
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -52,6 +52,8 @@
     bool is_settled = true;
     // Final once the end was decided.
     job_state state = job_state::queued;
+    // A task has started.
+    bool has_begun = false;
     std::map<std::uint32_t, ledger_occurrence> occurrences;
     // Occurrences that are done or running; later ones are not due yet.
     std::uint32_t next_occurrence = 0;
--- /dev/null
+++ b/coordination/orphan_runs.cpp
@@ -0,0 +1,53 @@
+#include "coordination/orphan_runs.h"
+
+#include <algorithm>
+
+namespace persimmonstile {
+
+namespace {
+
+// Pause before the store is asked again after it did not answer.
+constexpr milliseconds retry_pause{200};
+
+} // namespace
+
+void orphan_runs::add(agent_number agent, const run_report& report, time_point now) {
+    const auto [found, is_new] = checks_.try_emplace(report.run);
+    found->second.run = {agent, report};
+    if (is_new)
+        found->second.ask_at = now;
+}
+
+std::vector<std::pair<std::uint64_t, job_id>> orphan_runs::take_questions(time_point now) {
+    std::vector<std::pair<std::uint64_t, job_id>> questions;
+    for (auto& [run, pending] : checks_) {
+        if (pending.question != 0 || now < pending.ask_at)
+            continue;
+        pending.question = ++last_question_;
+        questions.emplace_back(pending.question, run.task.job);
+    }
+    return questions;
+}
+
+std::optional<orphan_runs::orphan> orphan_runs::answered(std::uint64_t question, const store_reply& answer,
+                                                         time_point now) {
+    const auto found = std::find_if(checks_.begin(), checks_.end(),
+                                    [&](const auto& entry) { return entry.second.question == question; });
+    if (found == checks_.end())
+        return std::nullopt;
+    const auto* item = std::get_if<item_found>(&answer);
+    const auto* status = item != nullptr ? std::get_if<job_status>(&item->item.value) : nullptr;
+    if (status == nullptr && !std::holds_alternative<item_missing>(answer)) {
+        found->second.question = 0;
+        found->second.ask_at = now + retry_pause;
+        return std::nullopt;
+    }
+    const orphan run = found->second.run;
+    checks_.erase(found);
+    // The owner of an open job claims its runs.
+    if (status != nullptr && !is_final(status->state))
+        return std::nullopt;
+    return run;
+}
+
+} // namespace persimmonstile
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -57,7 +57,7 @@
 bool run_planner::is_usable(const agent_view& agent, const std::string& service,
                             const deployment_config& config, time_point now) {
     return agent.link != 0 && agent.is_introduced && agent.profile.accepts_runs &&
-           agent.profile.backend.service == service && now >= agent.avoided_until &&
+           agent.profile.backend.service == service && !agent.health.is_avoided(now) &&
            !config.zones_out.contains(agent.profile.backend.zone);
 }
 
--- /dev/null
+++ b/coordination/waiting_callers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonstile {
+
+// A caller that waits for a job's acceptance or end.
+struct waiting_caller {
+    caller_token token = 0;
+    // Then it is told what is known.
+    time_point answer_by{};
+    // It wants the job cancelled.
+    bool is_cancel = false;
+};
+
+// Callers by the job that they wait for.
+class waiting_callers {
+public:
+    void add(const job_id& job, const waiting_caller& caller) { callers_[job].push_back(caller); }
+
+    // Removes and returns all callers of the job.
+    std::vector<waiting_caller> take(const job_id& job);
+    // Removes and returns all callers whose time is over, with their jobs.
+    std::vector<std::pair<job_id, waiting_caller>> take_expired(time_point now);
+    std::vector<std::pair<job_id, waiting_caller>> take_all();
+
+    // Removes one caller. Returns its job, or empty if it does not wait here.
+    std::optional<job_id> remove(caller_token token);
+
+    bool has_callers(const job_id& job) const { return callers_.contains(job); }
+    std::optional<time_point> next_expiry() const;
+
+private:
+    std::unordered_map<job_id, std::vector<waiting_caller>> callers_;
+};
+
+} // namespace persimmonstile
--- a/state/agent_room.h
+++ b/state/agent_room.h
@@ -15,6 +15,8 @@
     // Number of start messages of the receiving entry that are included.
     std::uint64_t starts_seen = 0;
 
+    bool operator==(const agent_room&) const = default;
+
     static constexpr auto members() {
         return std::make_tuple(&agent_room::free, &agent_room::queued, &agent_room::starts_seen);
     }
--- a/state/time.h
+++ b/state/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace persimmonstile {
 
@@ -20,4 +21,9 @@
 using milliseconds = std::chrono::milliseconds;
 using microseconds = std::chrono::microseconds;
 
+// Calendar time in milliseconds since 1970, as records hold it.
+inline std::int64_t calendar_ms(wall_time wall) {
+    return std::chrono::duration_cast<milliseconds>(wall.time_since_epoch()).count();
+}
+
 } // namespace persimmonstile
