Let entries tell each other how new their configuration is

Change: a missing answer doubles the slack of the watch; timers of the HTTP client look at the sockets first; peers send the revision of their last change, and an entry that is behind lists the records at once.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -249,18 +249,25 @@
 }
 
 void entry_core::send_counts(time_point now) {
-    if (now - last_count_ < limits_.count_interval)
+    const bool is_config_new = operator_records_.change_revision() != told_config_revision_;
+    if (now - last_count_ < limits_.count_interval && !is_config_new)
         return;
     last_count_ = now;
     std::map<std::string, std::uint64_t> counts = own_counts();
-    if (counts == told_counts_)
+    if (counts == told_counts_ && !is_config_new)
         return;
+    told_counts_ = std::move(counts);
+    told_config_revision_ = operator_records_.change_revision();
+    for (const auto& [link, peer] : peers_)
+        output_.messages.emplace_back(link, counts_message());
+}
+
+queue_counts entry_core::counts_message() const {
     queue_counts message;
-    for (const auto& [queue, pending_jobs] : counts)
+    for (const auto& [queue, pending_jobs] : told_counts_)
         message.counts.push_back({queue, pending_jobs});
-    for (const auto& [link, peer] : peers_)
-        output_.messages.emplace_back(link, message);
-    told_counts_ = std::move(counts);
+    message.config_revision = told_config_revision_;
+    return message;
 }
 
 } // namespace persimmonstile
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -38,7 +38,7 @@
     output_.replies.push_back({token, kind, state, submit_refusal::none, milliseconds{0}});
 }
 
-void entry_core::set_config(std::shared_ptr<const deployment_config> config, time_point) {
+void entry_core::set_config(std::shared_ptr<const deployment_config> config, time_point now) {
     const bool zones_changed = !config_ || config_->zones_version != config->zones_version;
     note("configuration in use", {},
          {{"version", static_cast<std::int64_t>(config->version)},
@@ -47,6 +47,7 @@
     config_ = std::move(config);
     if (zones_changed)
         welcome_all();
+    send_counts(now);
     is_plan_needed_ = true;
 }
 
@@ -83,10 +84,7 @@
     peer.session = message.session;
     if (is_new) {
         output_.messages.emplace_back(link, peer_introduction{name_, session()});
-        queue_counts counts;
-        for (const auto& [queue, pending_jobs] : told_counts_)
-            counts.counts.push_back({queue, pending_jobs});
-        output_.messages.emplace_back(link, std::move(counts));
+        output_.messages.emplace_back(link, counts_message());
     }
 }
 
@@ -111,10 +109,11 @@
     locator_.answered(message, now);
 }
 
-void entry_core::receive(link_number link, const queue_counts& message, time_point) {
+void entry_core::receive(link_number link, const queue_counts& message, time_point now) {
     const auto peer = peers_.find(link);
     if (peer == peers_.end())
         return;
+    operator_records_.expect(message.config_revision, now);
     peer->second.counts.clear();
     for (const queue_count& count : message.counts)
         peer->second.counts[count.queue] = count.pending;
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -156,6 +156,7 @@
     bool is_owner_certain(time_point now) const;
     void collect_store_calls(time_point now);
     void send_counts(time_point now);
+    queue_counts counts_message() const;
     std::map<std::string, std::uint64_t> own_counts() const;
 
     void note(std::string_view what, const job_id& job,
@@ -191,6 +192,7 @@
     wall_time wall_{};
     time_point last_count_{};
     std::map<std::string, std::uint64_t> told_counts_;
+    std::uint64_t told_config_revision_ = 0;
     // Addresses of the entries as the agents were told.
     std::vector<std::string> told_addresses_;
     bool is_plan_needed_ = false;
--- a/coordination/prefix_view.cpp
+++ b/coordination/prefix_view.cpp
@@ -1,5 +1,6 @@
 #include "coordination/prefix_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonstile {
@@ -8,25 +9,35 @@
 
 // A listing is short; the store may be slow.
 constexpr milliseconds list_timeout{600};
-// Beyond the wait of a watch: the way and a slow store.
-constexpr milliseconds watch_slack{400};
+// Beyond the wait of a watch: the way and a slow store. A process that is too busy to read its answers in time
+// gets more.
+constexpr milliseconds shortest_slack{400};
+constexpr milliseconds longest_slack{2000};
+// A change that another process has seen arrives within this time, or the watch has been lost.
+constexpr milliseconds expectation_patience{150};
 constexpr milliseconds failure_pause{60};
 
 } // namespace
 
 prefix_view::prefix_view(std::string prefix, milliseconds watch_wait)
     : prefix_{std::move(prefix)}
-    , watch_wait_{watch_wait} {}
+    , watch_wait_{watch_wait}
+    , slack_{shortest_slack} {}
 
 std::vector<prefix_view::call> prefix_view::take_calls(time_point now) {
     std::vector<call> calls;
+    if (expected_revision_ > revision_ && now - expected_since_ >= expectation_patience && is_listed_) {
+        is_listed_ = false;
+        listing_after_.clear();
+        waiting_for_ = 0;
+    }
     if (waiting_for_ != 0 || now < not_before_)
         return calls;
     waiting_for_ = ++last_id_;
     sent_ = now;
     if (is_listed_)
         calls.push_back(
-            {last_id_, store_watch{prefix_, revision_, watch_wait_.count()}, watch_wait_ + watch_slack});
+            {last_id_, store_watch{prefix_, revision_, watch_wait_.count()}, watch_wait_ + slack_});
     else
         calls.push_back({last_id_, store_list{prefix_, listing_after_}, list_timeout});
     return calls;
@@ -38,8 +49,10 @@
     waiting_for_ = 0;
     if (std::holds_alternative<store_failure>(reply)) {
         not_before_ = now + failure_pause;
+        slack_ = std::min(slack_ * 2, longest_slack);
         return;
     }
+    slack_ = shortest_slack;
     if (std::holds_alternative<history_lost>(reply)) {
         is_listed_ = false;
         return;
@@ -51,8 +64,11 @@
     if (const auto* changes = std::get_if<item_changes>(&reply)) {
         for (const store_item& item : changes->items)
             apply(item);
-        has_changed_ = has_changed_ || !changes->items.empty();
         revision_ = std::max(revision_, changes->revision);
+        if (!changes->items.empty()) {
+            has_changed_ = true;
+            change_revision_ = revision_;
+        }
         confirmed_ = sent_;
     }
 }
@@ -76,6 +92,7 @@
         items_[item.key] = item;
     listing_.clear();
     revision_ = listing_revision_;
+    change_revision_ = listing_revision_;
     is_listed_ = true;
     is_known_ = true;
     has_changed_ = true;
@@ -92,7 +109,16 @@
         known = item;
 }
 
+void prefix_view::expect(std::uint64_t revision, time_point now) {
+    if (revision <= expected_revision_ || revision <= revision_)
+        return;
+    expected_revision_ = revision;
+    expected_since_ = now;
+}
+
 std::optional<time_point> prefix_view::next_wakeup() const {
+    if (expected_revision_ > revision_ && is_listed_)
+        return expected_since_ + expectation_patience;
     if (waiting_for_ != 0)
         return std::nullopt;
     return not_before_;
--- a/coordination/prefix_view.h
+++ b/coordination/prefix_view.h
@@ -27,11 +27,16 @@
 
     std::vector<call> take_calls(time_point now);
     void replied(std::uint64_t id, const store_reply& reply, time_point now);
+    // Another process has seen a change at this revision. If this one does not learn of it shortly, it lists the
+    // keys again.
+    void expect(std::uint64_t revision, time_point now);
     std::optional<time_point> next_wakeup() const;
 
     const std::map<std::string, store_item>& items() const { return items_; }
     // Revision of the store at which the items are as they are here.
     std::uint64_t revision() const { return revision_; }
+    // Revision of the store at the last change of the items.
+    std::uint64_t change_revision() const { return change_revision_; }
     // True once after each change of the items, the first listing included.
     bool take_change();
     // Whether the items were listed, and when the store last confirmed that they are current.
@@ -49,6 +54,11 @@
     std::string listing_after_;
     std::uint64_t listing_revision_ = 0;
     std::uint64_t revision_ = 0;
+    std::uint64_t change_revision_ = 0;
+    std::uint64_t expected_revision_ = 0;
+    time_point expected_since_{};
+    // Added to the wait of a watch before it counts as unanswered.
+    milliseconds slack_;
     bool is_listed_ = false;
     bool is_known_ = false;
     bool has_changed_ = false;
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -262,12 +262,19 @@
         timer_.async_wait([self = shared_from_this()](asio::error_code error) {
             if (error || self->is_closed_)
                 return;
-            int running = 0;
-            curl_multi_socket_action(self->multi_, CURL_SOCKET_TIMEOUT, 0, &running);
-            self->finish_ended();
+            // A busy process may find the answer and the end of its time together; the answer goes first.
+            asio::post(self->context_, [self] { self->check_times(); });
         });
     }
 
+    void check_times() {
+        if (is_closed_)
+            return;
+        int running = 0;
+        curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+        finish_ended();
+    }
+
     void finish_ended() {
         int left = 0;
         while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
