Test the parts of the dispatcher for the platform one by one

The decisions were tested only by random histories, which show that a promise holds but not which part keeps it.

--- /dev/null
+++ b/tests/backend_health_test.cpp
@@ -0,0 +1,52 @@
+#include "coordination/backend_health.h"
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+class backend_health_test : public testing::Test {
+protected:
+    time_point now_{std::chrono::seconds{100}};
+    backend_health health_;
+};
+
+// Guards against a backend server that fails everything and takes the attempts of every job.
+TEST_F(backend_health_test, avoids_a_backend_server_that_fails_two_jobs_in_a_row) {
+    EXPECT_FALSE(health_.failed("a", now_));
+    EXPECT_TRUE(health_.failed("b", now_));
+    EXPECT_TRUE(health_.is_avoided(now_));
+}
+
+// Guards against avoiding sound backend servers because of one job that cannot be done.
+TEST_F(backend_health_test, counts_the_tasks_of_one_job_once) {
+    for (int i = 0; i < 10; ++i)
+        EXPECT_FALSE(health_.failed("a", now_));
+    EXPECT_FALSE(health_.is_avoided(now_));
+}
+
+TEST_F(backend_health_test, forgets_failures_after_a_success) {
+    health_.failed("a", now_);
+    health_.succeeded();
+    EXPECT_FALSE(health_.failed("b", now_));
+}
+
+// Guards against a backend server that is tried too often while it fails, and against one that stays away for
+// long after a short trouble.
+TEST_F(backend_health_test, doubles_the_pause_while_the_trouble_lasts) {
+    health_.failed("a", now_);
+    health_.failed("b", now_);
+    const auto first = health_.avoided_until() - now_;
+    now_ = health_.avoided_until();
+    EXPECT_FALSE(health_.is_avoided(now_));
+    EXPECT_TRUE(health_.failed("c", now_));
+    EXPECT_EQ(health_.avoided_until() - now_, 2 * first);
+    now_ = health_.avoided_until();
+    health_.succeeded();
+    health_.failed("d", now_);
+    health_.failed("e", now_);
+    EXPECT_EQ(health_.avoided_until() - now_, first);
+}
+
+} // namespace
+} // namespace persimmonstile
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -25,6 +25,23 @@
 // its options.
 class dispatch_world {
 public:
+    // A rule that the world breaks on purpose between the parts, to show that the checks notice.
+    //   wrong_capacity       backend servers announce three times their room
+    //   copied_orders        orders reach a second agent too
+    //   early_acknowledgement  every listed end is acknowledged at once
+    //   false_refusal        callers are told that accepted jobs were refused
+    //   early_completion     callers are told that running jobs are completed
+    //   lost_record          the store loses the record of a job that it has acknowledged
+    enum class sabotage : std::uint8_t {
+        none,
+        wrong_capacity,
+        copied_orders,
+        early_acknowledgement,
+        false_refusal,
+        early_completion,
+        lost_record
+    };
+
     struct options {
         std::uint64_t seed = 1;
         int entries = 3;
@@ -39,11 +56,7 @@
         // out seconds later.
         double late_orders = 0;
         double late_writes = 0;
-        // Switches that break a rule on purpose, to show that the checks notice.
-        bool forget_room = false;
-        bool answer_before_end = false;
-        bool keep_runs_of_dead_entries = false;
-        bool acknowledge_at_once = false;
+        sabotage broken_rule = sabotage::none;
     };
 
     explicit dispatch_world(const options& chosen)
@@ -303,7 +316,10 @@
     void announce(int index) {
         agent_node& node = *agents_[index];
         if (node.core && !is_frozen(node.name) && now_ >= backend_down_until_[node.name]) {
-            node.core->announced(node.backend->announce(now_), now_);
+            backend_announcement announcement = node.backend->announce(now_);
+            if (options_.broken_rule == sabotage::wrong_capacity)
+                announcement.profile.capacity = announcement.profile.capacity * 3;
+            node.core->announced(announcement, now_);
             flush(node);
         }
         at(since_start() + milliseconds{1500}, [this, index] { announce(index); });
@@ -469,6 +485,25 @@
         } else if (agent_node* agent_found = find_agent(to); agent_found != nullptr && agent_found->core) {
             agent_found->core->received(link->number, message, now_);
             flush(*agent_found);
+            const auto* start = std::get_if<start_runs>(&message);
+            if (start != nullptr && options_.broken_rule == sabotage::copied_orders)
+                copy_order(*agent_found, *start);
+        }
+    }
+
+    void copy_order(const agent_node& receiver, const start_runs& message) {
+        for (const auto& node : agents_) {
+            if (node->name == receiver.name)
+                continue;
+            for (const run_start& start : message.runs) {
+                backend_order order;
+                order.fencing_token = std::numeric_limits<std::uint32_t>::max();
+                order.lease_until_ms = std::numeric_limits<std::int32_t>::max();
+                order.action = start_order{{{message.job, 0, start.step, start.index}, start.run}, {}, {}};
+                node->backend->carry_out(order, now_);
+                take_backend_events(*node);
+            }
+            return;
         }
     }
 
@@ -594,7 +629,10 @@
 
     // ---- Backend servers ----
 
-    void send_order(agent_node& node, const backend_order& order) {
+    void send_order(agent_node& node, backend_order order) {
+        if (auto* hold = std::get_if<hold_order>(&order.action);
+            hold != nullptr && options_.broken_rule == sabotage::early_acknowledgement)
+            hold->acknowledged_end = std::numeric_limits<std::uint64_t>::max();
         const std::string name = node.name;
         const int life = node.life;
         const milliseconds deadline = since_start() + order.timeout;
@@ -873,7 +911,11 @@
             resend(job);
     }
 
-    void take_reply(const caller_reply& reply) {
+    void take_reply(caller_reply reply) {
+        if (options_.broken_rule == sabotage::false_refusal && reply.kind == caller_reply_kind::accepted)
+            reply.kind = caller_reply_kind::refused;
+        if (options_.broken_rule == sabotage::early_completion && reply.state == job_state::running)
+            reply.state = job_state::completed;
         const auto found = calls_.find(reply.token);
         if (found == calls_.end())
             return;
@@ -912,6 +954,8 @@
             ask_later(call.job, false);
         if (reply.kind == caller_reply_kind::accepted && !job.is_accepted) {
             job.is_accepted = true;
+            if (options_.broken_rule == sabotage::lost_record)
+                store_.remove(job_key(call.job));
             if (chance(options_.cancel_part))
                 at(since_start() + milliseconds{pick(300)}, [this, name = call.job] { ask(name, true); });
         }
--- a/tests/dispatch_world_test.cpp
+++ b/tests/dispatch_world_test.cpp
@@ -63,5 +63,50 @@
     run_histories(chosen);
 }
 
+// The checks of the histories must notice each kind of breach. A rule is broken on purpose between the parts.
+class sabotaged_world : public testing::Test {
+protected:
+    static bool is_noticed(dispatch_world::sabotage broken_rule, const std::string& finding) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            dispatch_world::options chosen;
+            chosen.seed = seed;
+            chosen.kept_part = 0.7;
+            chosen.faults = 8;
+            chosen.broken_rule = broken_rule;
+            dispatch_world world{chosen};
+            for (const std::string& line : world.run()) {
+                if (line.find(finding) != std::string::npos)
+                    return true;
+            }
+        }
+        return false;
+    }
+};
+
+TEST_F(sabotaged_world, notices_a_start_beyond_the_capacity) {
+    EXPECT_TRUE(is_noticed(dispatch_world::sabotage::wrong_capacity, "exceeds the capacity"));
+}
+
+TEST_F(sabotaged_world, notices_two_runs_of_one_task) {
+    EXPECT_TRUE(is_noticed(dispatch_world::sabotage::copied_orders, "two runs of one task"));
+}
+
+TEST_F(sabotaged_world, notices_an_acknowledgement_before_the_record) {
+    EXPECT_TRUE(
+        is_noticed(dispatch_world::sabotage::early_acknowledgement, "after its end was acknowledged"));
+}
+
+TEST_F(sabotaged_world, notices_an_untrue_refusal) {
+    EXPECT_TRUE(is_noticed(dispatch_world::sabotage::false_refusal, "a refused job starts"));
+}
+
+TEST_F(sabotaged_world, notices_a_completion_that_is_shown_too_early) {
+    EXPECT_TRUE(is_noticed(dispatch_world::sabotage::early_completion, "with a task that is not"));
+}
+
+TEST_F(sabotaged_world, notices_a_lost_job) {
+    EXPECT_TRUE(is_noticed(dispatch_world::sabotage::lost_record, "an accepted job is not known"));
+}
+
 } // namespace
 } // namespace persimmonstile
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,298 @@
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/kv_codec.h"
+#include "platform/order_codec.h"
+#include "platform/registration_codec.h"
+#include "protocol/base64.h"
+#include "protocol/record_codec.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace persimmonstile::platform {
+namespace {
+
+using nlohmann::json;
+
+http_answer answer_of(long status, const std::string& body = {}) {
+    http_answer answer;
+    answer.status = status;
+    answer.body = body;
+    answer.sent = true;
+    return answer;
+}
+
+// ---- Store ----
+
+TEST(kv_codec, writes_conditions_values_and_removals) {
+    job_status status;
+    status.owner = {"entry", 3};
+    const store_write write{{{"a", 0}}, {{"persimmonstile/j/1", status, 77}}, {"b"}};
+    const kv_request request = encode_store_call(write);
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/kv-txn");
+    const json body = json::parse(request.body);
+    EXPECT_EQ(body["Precondition"], json::parse(R"([{"Key":"a","Revision":0}])"));
+    EXPECT_EQ(body["Remove"], json::parse(R"(["b"])"));
+    EXPECT_EQ(body["SetKeys"][0]["Lease"], 77);
+    const auto bytes = decode_base64(body["SetKeys"][0]["Value"].get<std::string>());
+    ASSERT_TRUE(bytes);
+    const auto record = decode_record<stored_record>(*bytes);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(std::get<job_status>(*record).owner, status.owner);
+}
+
+TEST(kv_codec, tells_what_did_nothing_from_what_may_have_been_done) {
+    const store_call write = store_write{};
+    const auto failure = [&](const http_answer& answer) {
+        return std::get<store_failure>(decode_store_answer(write, answer)).may_have_applied;
+    };
+    EXPECT_FALSE(failure(answer_of(503)));
+    EXPECT_FALSE(failure(answer_of(429)));
+    EXPECT_TRUE(failure(answer_of(500)));
+    http_answer unsent;
+    EXPECT_FALSE(failure(unsent));
+    http_answer unanswered;
+    unanswered.sent = true;
+    EXPECT_TRUE(failure(unanswered));
+    EXPECT_TRUE(failure(answer_of(200, "not json")));
+}
+
+TEST(kv_codec, reads_a_conflict_with_missing_keys) {
+    const store_reply reply = decode_store_answer(
+        store_write{},
+        answer_of(412, R"({"items":[{"Key":"a"},{"Key":"op/b","Value":"eA==","Revision":9}]})"));
+    const auto& items = std::get<write_conflict>(reply).items;
+    ASSERT_EQ(items.size(), 2U);
+    EXPECT_EQ(items[0].revision, 0U);
+    EXPECT_EQ(items[1].revision, 9U);
+    EXPECT_EQ(std::get<std::string>(items[1].value), "x");
+}
+
+TEST(kv_codec, reads_changes_and_deletions) {
+    const store_reply reply = decode_store_answer(
+        store_watch{"op/", 3, 100},
+        answer_of(
+            200,
+            R"({"events":[{"Key":"op/a","Value":"eA==","Revision":4},{"Key":"op/b","Revision":5,"Deleted":true}],"StoreRevision":5})"));
+    const auto& changes = std::get<item_changes>(reply);
+    EXPECT_EQ(changes.revision, 5U);
+    ASSERT_EQ(changes.items.size(), 2U);
+    EXPECT_EQ(changes.items[0].revision, 4U);
+    EXPECT_EQ(changes.items[1].revision, 0U);
+}
+
+TEST(kv_codec, tells_a_missing_key_from_a_missing_lease_and_a_lost_history) {
+    EXPECT_TRUE(std::holds_alternative<item_missing>(decode_store_answer(store_read{"a"}, answer_of(404))));
+    EXPECT_TRUE(std::holds_alternative<lease_missing>(decode_store_answer(lease_renew{1}, answer_of(404))));
+    EXPECT_TRUE(std::holds_alternative<lease_missing>(decode_store_answer(store_write{}, answer_of(404))));
+    EXPECT_TRUE(std::holds_alternative<history_lost>(decode_store_answer(store_watch{}, answer_of(410))));
+}
+
+TEST(kv_codec, quotes_keys_in_queries) {
+    EXPECT_EQ(encode_store_call(store_read{"a b&c"}).target, "/kv-key?Key=a%20b%26c");
+    EXPECT_EQ(encode_store_call(store_watch{"p/", 12, 500}).target,
+              "/kv-watch?PathPrefix=p/&After=12&WaitMs=500");
+    EXPECT_EQ(encode_store_call(store_list{"p/", "p/k"}).target, "/kv-range?PathPrefix=p/&After=p/k");
+}
+
+// Guards against a value that another system wrote under a key of this project.
+TEST(kv_codec, passes_on_values_that_it_cannot_read) {
+    const store_reply reply = decode_store_answer(
+        store_read{"persimmonstile/x"},
+        answer_of(200, R"({"Key":"persimmonstile/x","Value":"/////w==","Revision":4,"StoreRevision":9})"));
+    EXPECT_TRUE(std::holds_alternative<std::string>(std::get<item_found>(reply).item.value));
+}
+
+// ---- Orders ----
+
+TEST(order_codec, names_tasks_and_reads_the_names) {
+    const task_ref task{"5c0e7a21d94b36f8", 2, 1, 17};
+    EXPECT_EQ(task_name(task), "5c0e7a21d94b36f8.2.1.17");
+    ASSERT_TRUE(parse_task_name("5c0e7a21d94b36f8.2.1.17"));
+    EXPECT_EQ(*parse_task_name("5c0e7a21d94b36f8.2.1.17"), task);
+    EXPECT_FALSE(parse_task_name("5c0e7a21d94b36f8.2.1"));
+    EXPECT_FALSE(parse_task_name("a.b.c.d"));
+    EXPECT_FALSE(parse_task_name(""));
+}
+
+TEST(order_codec, writes_the_end_of_the_lease_as_a_time_of_the_backend_server) {
+    backend_order order;
+    order.fencing_token = 7;
+    order.lease_until_ms = 486000;
+    order.action = start_order{{{"5c0e7a21d94b36f8", 0, 1, 17}, 2}, "text", {}};
+    const json start = json::parse(encode_order(order).body);
+    EXPECT_EQ(start["DeadlineMs"], 486000);
+    EXPECT_EQ(start["RunId"], 2);
+    EXPECT_FALSE(start.contains("Checkpoint"));
+    order.action = hold_order{57, milliseconds{150}, false};
+    const json hold = json::parse(encode_order(order).body);
+    EXPECT_EQ(hold["LastSeen"], 57);
+    EXPECT_EQ(hold["WaitMs"], 150);
+    EXPECT_FALSE(hold.contains("DeadlineMs"));
+}
+
+TEST(order_codec, reads_the_lists) {
+    backend_order order;
+    order.id = 4;
+    order.action = hold_order{};
+    const backend_reply reply = decode_order_answer(
+        order,
+        answer_of(200,
+                  R"({"ClockMs":482113,"born":1700000000000,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41]],
+                              "Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"failed",""]]})"));
+    EXPECT_EQ(reply.id, 4U);
+    EXPECT_EQ(reply.verdict, backend_verdict::accepted);
+    EXPECT_EQ(reply.clock_ms, 482113);
+    EXPECT_EQ(reply.life, 1700000000000U);
+    ASSERT_EQ(reply.running.size(), 1U);
+    EXPECT_EQ(reply.running[0].percent, 41U);
+    EXPECT_EQ(reply.running[0].checkpoint, "cp");
+    ASSERT_EQ(reply.ended.size(), 1U);
+    EXPECT_EQ(reply.ended[0].how, run_state::failed);
+    EXPECT_EQ(reply.ended[0].number, 58U);
+}
+
+TEST(order_codec, tells_the_reasons_of_refusals_apart) {
+    backend_order order;
+    const auto verdict = [&](long status, const std::string& body) {
+        return decode_order_answer(order, answer_of(status, body)).verdict;
+    };
+    EXPECT_EQ(verdict(409, R"({"Reason":"fence"})"), backend_verdict::fenced);
+    EXPECT_EQ(verdict(409, R"({"Reason":"old"})"), backend_verdict::old_run);
+    EXPECT_EQ(verdict(409, R"({"Reason":"late"})"), backend_verdict::late);
+    EXPECT_EQ(verdict(409, R"({"Reason":"room"})"), backend_verdict::no_room);
+    EXPECT_EQ(verdict(421, ""), backend_verdict::other_instance);
+    EXPECT_EQ(verdict(503, ""), backend_verdict::unhealthy);
+    EXPECT_EQ(verdict(400, ""), backend_verdict::invalid);
+    // Whatever else is answered, the order may have been carried out.
+    EXPECT_EQ(verdict(500, ""), backend_verdict::no_answer);
+    http_answer lost;
+    lost.sent = true;
+    EXPECT_EQ(decode_order_answer(order, lost).verdict, backend_verdict::no_answer);
+    EXPECT_EQ(decode_order_answer(order, http_answer{}).verdict, backend_verdict::not_sent);
+}
+
+// Guards against conclusions from lists that are only half read.
+TEST(order_codec, takes_lists_that_cannot_be_read_for_no_answer) {
+    backend_order order;
+    order.action = hold_order{};
+    const backend_reply reply = decode_order_answer(
+        order, answer_of(200, R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.17"]]})"));
+    EXPECT_EQ(reply.verdict, backend_verdict::no_answer);
+    EXPECT_TRUE(reply.running.empty());
+}
+
+// ---- Jobs ----
+
+TEST(job_codec, reads_steps) {
+    const auto decoded = decode_job(
+        R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstRuntimeMs":900,"DataRack":"r1-3"},
+            {"Count":20,"After":[0],"AntiAffinity":2,"RequiredLabel":"b","Checkpointing":true}],"BestEffort":true})");
+    const auto* plan = std::get_if<job_plan>(&decoded);
+    ASSERT_NE(plan, nullptr);
+    EXPECT_EQ(plan->payload, "text");
+    EXPECT_FALSE(plan->is_kept);
+    ASSERT_EQ(plan->steps.size(), 2U);
+    EXPECT_EQ(plan->steps[0].task_needs, (resources{500, 256, 0}));
+    EXPECT_EQ(plan->steps[0].data_rack, "r1-3");
+    EXPECT_EQ(plan->steps[1].after, std::vector<std::uint32_t>{0});
+    EXPECT_EQ(plan->steps[1].max_per_backend, 2U);
+    EXPECT_EQ(plan->steps[1].required_label, "b");
+}
+
+TEST(job_codec, keeps_a_job_that_does_not_say_otherwise) {
+    const auto decoded = decode_job(R"({"Steps":[{"Count":1}]})");
+    EXPECT_TRUE(std::get<job_plan>(decoded).is_kept);
+}
+
+TEST(job_codec, reports_what_is_wrong_with_a_body) {
+    for (const char* body : {"", "[]", "{}", R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})",
+                             R"({"Steps":[{"Count":-1}]})", R"({"Steps":[{"Count":1,"After":[0]}]})",
+                             R"({"Steps":[{"Count":99999999}]})", R"({"Steps":[{"Count":"x"}]})"}) {
+        const auto decoded = decode_job(body);
+        const auto* error = std::get_if<job_error>(&decoded);
+        ASSERT_NE(error, nullptr) << body;
+        EXPECT_FALSE(error->detail.empty()) << body;
+    }
+}
+
+TEST(job_codec, knows_ids) {
+    EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
+    EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
+    EXPECT_FALSE(is_job_id("5c0e7a21d94b36fx"));
+    EXPECT_FALSE(is_job_id(""));
+}
+
+// ---- Registration ----
+
+TEST(registration_codec, reads_a_report) {
+    const auto report = decode_announcement(
+        "i-7f3a91c2",
+        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":8,"State":"draining","ColdLeftMs":0,
+            "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"ClockMs":482113,"SeqNo":4,"born":17})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->profile.capacity, (resources{16000, 32768, 1}));
+    EXPECT_EQ(report->profile.kind, "a");
+    EXPECT_EQ(report->profile.rack, "r1-3");
+    EXPECT_TRUE(report->profile.draining);
+    EXPECT_EQ(report->profile.life, 17U);
+    EXPECT_EQ(report->sequence, 4U);
+    EXPECT_EQ(report->clock_ms, 482113);
+}
+
+// Guards against reports of other writers that would be taken for a backend server.
+TEST(registration_codec, ignores_reports_of_other_writers) {
+    for (const char* body :
+         {"", "\xff\xfe", "{}", R"({"State":"ready"})",
+          R"({"Service":"s","Zone":"z","State":"resting","Capacity":{"Cpu":1,"MemMb":1},"SeqNo":1,"born":1})",
+          R"({"Service":7,"Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":1},"SeqNo":1,"born":1})",
+          R"({"Service":"s","Zone":"z","State":"ready","Capacity":"big","SeqNo":1,"born":1})"}) {
+        EXPECT_FALSE(decode_announcement("i-1", body)) << body;
+    }
+}
+
+// ---- Operators ----
+
+store_item text_item(const std::string& key, const std::string& text, std::uint64_t revision) {
+    return {key, text, revision};
+}
+
+std::string config_text(std::uint64_t version) {
+    return R"({"Version":)" + std::to_string(version) +
+           R"(,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","RouteType":"non_idempotent","TimeoutMs":1500,"SloMs":60,
+               "Priority":2,"Service":"s","Attempts":3,"Stretch":1.6}],"Services":[],"Limits":{"MaxBodyBytes":1000}})";
+}
+
+TEST(config_codec, reads_queues_and_zones) {
+    const auto config =
+        decode_operator_records({{"op/config", text_item("op/config", config_text(7), 20)},
+                                 {"op/evacuate/surat", text_item("op/evacuate/surat", "{}", 21)}},
+                                22, nullptr);
+    ASSERT_NE(config, nullptr);
+    EXPECT_EQ(config->version, 7U);
+    EXPECT_EQ(config->max_body_bytes, 1000U);
+    EXPECT_EQ(config->zones_out, std::set<std::string>{"surat"});
+    EXPECT_EQ(config->zones_version, 22U);
+    ASSERT_EQ(config->queues.size(), 1U);
+    EXPECT_EQ(config->queues[0].attempts, 3U);
+    EXPECT_EQ(config->queues[0].priority, 2U);
+    EXPECT_DOUBLE_EQ(config->queues[0].stretch, 1.6);
+    EXPECT_EQ(config->queues[0].slack, std::chrono::milliseconds{60});
+}
+
+TEST(config_codec, never_goes_back_and_survives_damage) {
+    const auto config =
+        decode_operator_records({{"op/config", text_item("op/config", config_text(7), 20)}}, 20, nullptr);
+    EXPECT_EQ(decode_operator_records({{"op/config", text_item("op/config", config_text(6), 21)}}, 21,
+                                      config.get()),
+              nullptr);
+    EXPECT_EQ(decode_operator_records({{"op/config", text_item("op/config", "{", 22)}}, 22, config.get()),
+              nullptr);
+    EXPECT_EQ(decode_operator_records({}, 23, nullptr), nullptr);
+}
+
+} // namespace
+} // namespace persimmonstile::platform
