Write the log on a thread of its own and serve metrics of the platform's daemons

Cause: each log line was written by the thread that decides, so a reader that stops reading stops the daemon; information lines were unlimited; and the metrics address of the platform's settings was not served.

Change: lines go to a bounded buffer that a thread writes out every 50 ms, to standard output; what does not fit is left out and counted. Each kind of line is limited to 50 a second, and the next one tells how many were left out. Lines name their process. Entries and agents serve counters of their decisions, answers, refusals, orders, ends and store calls, and histograms of the times between them.

--- a/cli/local_command.cpp
+++ b/cli/local_command.cpp
@@ -45,7 +45,7 @@
 
 int run_deployment(const local_options& chosen, command_output output) {
     const system_clock_source clock;
-    start_logging(log_level::warn, clock);
+    start_logging({log_level::warn, log_options::standard_error, {}}, clock);
     local_deployment deployment{chosen, clock};
     if (!deployment.wait_until_ready(ready_limit)) {
         output.err << "the deployment is not ready after " << ready_limit.count() << " s\n";
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -52,6 +52,9 @@
     // Peer addresses of all entries that the connected ones name.
     std::set<std::string> entry_addresses() const;
     const std::string& backend_id() const { return backend_.id; }
+    std::uint64_t backend_life() const { return backend_.life; }
+    std::uint64_t fencing_token() const { return token_; }
+    std::size_t connected_entries() const { return links_.size(); }
     std::size_t active_runs() const { return runs_.active_count(); }
     std::size_t queued_runs() const { return queue_.size(); }
 
--- a/coordination/agent_output.h
+++ b/coordination/agent_output.h
@@ -2,6 +2,7 @@
 
 #include "coordination/backend_order.h"
 #include "coordination/decision.h"
+#include "state/run_state.h"
 #include "state/work_message.h"
 
 #include <cstdint>
@@ -18,6 +19,8 @@
     std::vector<backend_order> orders;
     std::vector<std::pair<link_number, work_message>> messages;
     std::vector<decision> decisions;
+    // How runs ended, for metrics.
+    std::vector<run_state> ends;
 };
 
 } // namespace persimmonstile
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -10,6 +10,7 @@
     runs_.set_state(record, state);
     record.reason = reason;
     record.ended = now;
+    output_.ends.push_back(state);
     report(record, now);
     // A listed end has to be kept until it is recorded, if anybody records it.
     const bool is_claimed = !record.owner.name.empty();
--- a/coordination/backend_reply.h
+++ b/coordination/backend_reply.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonstile {
@@ -33,6 +34,32 @@
     no_answer
 };
 
+constexpr std::string_view to_string(backend_verdict verdict) {
+    switch (verdict) {
+    case backend_verdict::accepted:
+        return "accepted";
+    case backend_verdict::fenced:
+        return "fenced";
+    case backend_verdict::old_run:
+        return "old_run";
+    case backend_verdict::late:
+        return "late";
+    case backend_verdict::no_room:
+        return "no_room";
+    case backend_verdict::unhealthy:
+        return "unhealthy";
+    case backend_verdict::invalid:
+        return "invalid";
+    case backend_verdict::other_instance:
+        return "other_instance";
+    case backend_verdict::not_sent:
+        return "not_sent";
+    case backend_verdict::no_answer:
+        return "no_answer";
+    }
+    return "no_answer";
+}
+
 // A run in the list of those that work.
 struct listed_run {
     run_ref run;
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -199,6 +199,7 @@
     case report_effect::nothing:
         return;
     case report_effect::started:
+        measure(entry_timing::start, now - copy.placed);
         note_begin(*job);
         return;
     case report_effect::done:
@@ -239,6 +240,7 @@
                        time_point now) {
     if (report.state == run_state::done && task.run == report.run.run && report.run_us > 0 &&
         report.run.task.step < job.record->plan.steps.size()) {
+        measure(entry_timing::run, report.run_time());
         agent.health.succeeded();
         const milliseconds estimate = job.step(report.run.task.step).estimate();
         const std::string& queue = job.record->queue;
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -77,6 +77,11 @@
     return result;
 }
 
+std::size_t entry_core::connected_agents() const {
+    return static_cast<std::size_t>(std::count_if(agents_.all().begin(), agents_.all().end(),
+                                                  [](const auto& entry) { return entry.second.link != 0; }));
+}
+
 void entry_core::receive(link_number link, const peer_introduction& message, time_point) {
     const bool is_new = !peers_.contains(link);
     peer_state& peer = peers_[link];
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -78,6 +78,7 @@
 
     const incarnation& session() const { return keeper_.session(); }
     const member_directory& members() const { return keeper_.members(); }
+    std::size_t connected_agents() const;
     std::size_t open_jobs() const { return ledger_.jobs().size(); }
     // Connected entries and their links.
     std::map<std::string, link_number> peers() const;
@@ -159,6 +160,9 @@
     queue_counts counts_message() const;
     std::map<std::string, std::uint64_t> own_counts() const;
 
+    void measure(entry_timing what, std::chrono::nanoseconds time) {
+        output_.timings.emplace_back(what, time);
+    }
     void note(std::string_view what, const job_id& job,
               std::vector<std::pair<std::string_view, decision::value>> inputs, bool is_warning = false);
 
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -144,6 +144,7 @@
           {"queue", job->record->queue},
           {"total_us", std::chrono::duration_cast<microseconds>(now - job->accepted).count()},
           {"record_us", std::chrono::duration_cast<microseconds>(now - job->ended).count()}});
+    measure(entry_timing::record, now - job->ended);
     acknowledge_all(*job);
     ended_.add(id, {job->state, true}, now);
     answer_waiting(id, job->state);
@@ -179,6 +180,10 @@
     for (const planned_run& planned : plan) {
         ledger_job& job = *ledger_.find(planned.task.job);
         ledger_task& task = *job_ledger::find_task(job, planned.task);
+        if (!job.is_placed) {
+            job.is_placed = true;
+            measure(entry_timing::queue, now - job.accepted);
+        }
         task.run = std::max(task.run, job.run_base) + 1;
         task.phase = task_phase::placed;
         task.agent = planned.agent;
--- a/coordination/entry_output.h
+++ b/coordination/entry_output.h
@@ -3,10 +3,12 @@
 #include "coordination/agent_output.h"
 #include "coordination/caller_reply.h"
 #include "coordination/decision.h"
+#include "coordination/entry_timing.h"
 #include "state/store_call.h"
 #include "state/time.h"
 #include "state/work_message.h"
 
+#include <chrono>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -26,6 +28,8 @@
     std::vector<std::pair<link_number, work_message>> messages;
     std::vector<caller_reply> replies;
     std::vector<decision> decisions;
+    // Measured times, for metrics.
+    std::vector<std::pair<entry_timing, std::chrono::nanoseconds>> timings;
 };
 
 } // namespace persimmonstile
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -52,6 +52,8 @@
     bool is_settled = true;
     // Final once the end was decided.
     job_state state = job_state::queued;
+    // A task was given to an agent, so the job may have begun.
+    bool is_placed = false;
     // A task has started.
     bool has_begun = false;
     std::map<std::uint32_t, ledger_occurrence> occurrences;
--- /dev/null
+++ b/daemon/agent_metrics.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "coordination/backend_reply.h"
+#include "daemon/store_call_metrics.h"
+#include "state/run_state.h"
+#include "transport/duration_histogram.h"
+#include "transport/gauge.h"
+#include "transport/metric_registry.h"
+#include "transport/text_counter_family.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace persimmonstile {
+
+class agent_core;
+
+// Metrics of an agent of a deployment whose jobs are kept in the store.
+class agent_metrics {
+public:
+    agent_metrics();
+
+    // The body of GET /metrics.
+    std::string prometheus_text() const { return registry_.prometheus_text(); }
+
+    void decided(std::string_view what) { decisions_.add({what}); }
+    // An order of this kind, numbered like the alternatives of backend_order::action, has come to its end.
+    void ordered(std::size_t kind, backend_verdict verdict, std::chrono::nanoseconds elapsed);
+    void ended(run_state state) { ends_.add({to_string(state)}); }
+    store_call_metrics& store_calls() { return store_calls_; }
+    // Sets the gauges.
+    void observe(const agent_core& core);
+
+private:
+    metric_registry registry_;
+    text_counter_family decisions_{
+        "persimmonstile_decisions_total", "Decisions, also those that the log leaves out.", {"decision"}};
+    text_counter_family orders_{"persimmonstile_backend_orders_total",
+                                "Orders to the backend server by kind and result.",
+                                {"kind", "result"}};
+    text_counter_family ends_{"persimmonstile_run_ends_total", "Ended runs by state.", {"state"}};
+    duration_histogram start_{"persimmonstile_start_order_seconds",
+                              "Time from a start order to the backend server's answer."};
+    gauge active_{"persimmonstile_active_runs", "Runs that take room on the backend server."};
+    gauge queued_{"persimmonstile_queued_runs", "Runs that wait for room on the backend server."};
+    gauge entries_{"persimmonstile_entries_connected", "Connected entries."};
+    gauge token_{"persimmonstile_fencing_token", "Fencing token of the orders to the backend server."};
+    gauge life_{"persimmonstile_backend_life", "Life of the backend server; 0 while none is known."};
+    store_call_metrics store_calls_;
+};
+
+} // namespace persimmonstile
--- a/daemon/durable_agent.cpp
+++ b/daemon/durable_agent.cpp
@@ -54,14 +54,21 @@
 
 void durable_agent::flush() {
     agent_output output = core_.take_output(clock_.now());
-    for (const decision& made : output.decisions)
+    for (const decision& made : output.decisions) {
+        metrics_.decided(made.what);
         log_decision(component, made);
+    }
+    for (const run_state state : output.ends)
+        metrics_.ended(state);
     for (const auto& [link, message] : output.messages)
         links_.send(link, message);
     for (const backend_order& order : output.orders) {
-        outside_.orders(order, core_.backend_id(), [this](const backend_reply& reply) {
-            run([&] { core_.replied(reply, clock_.now()); });
-        });
+        outside_.orders(
+            order, core_.backend_id(),
+            [this, action = order.action.index(), sent = clock_.now()](const backend_reply& reply) {
+                metrics_.ordered(action, reply.verdict, clock_.now() - sent);
+                run([&] { core_.replied(reply, clock_.now()); });
+            });
     }
     std::set<std::string> addresses = core_.entry_addresses();
     if (addresses.empty()) {
@@ -95,8 +102,11 @@
         return;
     is_listing_ = true;
     next_listing_ = now + listing_interval;
-    outside_.store(store_list{entry_prefix, {}}, listing_timeout,
-                   [this](const store_reply& reply) { run([&] { entries_listed(reply); }); });
+    const store_call call = store_list{entry_prefix, {}};
+    outside_.store(call, listing_timeout, [this, call, now](const store_reply& reply) {
+        metrics_.store_calls().answered(call, reply, clock_.now() - now);
+        run([&] { entries_listed(reply); });
+    });
 }
 
 void durable_agent::entries_listed(const store_reply& reply) {
@@ -122,6 +132,11 @@
     run([this] { core_.begin_shutdown(clock_.now()); });
 }
 
+std::string durable_agent::metrics_text() {
+    metrics_.observe(core_);
+    return metrics_.prometheus_text();
+}
+
 void durable_agent::stop() {
     is_stopped_ = true;
     timer_.cancel();
--- a/daemon/durable_agent.h
+++ b/daemon/durable_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/agent_core.h"
+#include "daemon/agent_metrics.h"
 #include "daemon/link_hub.h"
 #include "daemon/store_router.h"
 #include "protocol/daemon_settings.h"
@@ -38,7 +39,8 @@
     bool is_drained() const { return core_.is_drained(); }
     void stop();
 
-    const agent_core& core() const { return core_; }
+    // The metrics as they are now, in the Prometheus text format.
+    std::string metrics_text();
 
 private:
     void run(const std::function<void()>& event);
@@ -51,6 +53,7 @@
     ports outside_;
     agent_core core_;
     link_hub links_;
+    agent_metrics metrics_;
     asio::steady_timer timer_;
     time_point timer_due_{};
     // Addresses from the settings and the store, for use while no entry is connected that names others.
--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -84,8 +84,12 @@
             core_.set_config(std::move(config), now);
     }
     entry_output output = core_.take_output(now);
-    for (const decision& made : output.decisions)
+    for (const decision& made : output.decisions) {
+        metrics_.decided(made.what);
         log_decision(component, made);
+    }
+    for (const auto& [what, time] : output.timings)
+        metrics_.measured(what, time);
     for (const auto& [link, message] : output.messages)
         links_.send(link, message);
     for (const store_request& request : output.store_calls)
@@ -94,9 +98,10 @@
         const auto found = replies_.find(reply.token);
         if (found == replies_.end())
             continue;
-        const reply_handler on_reply = std::move(found->second);
+        const open_request request = std::move(found->second);
         replies_.erase(found);
-        on_reply(reply);
+        metrics_.replied(reply, now - request.arrived);
+        request.on_reply(reply);
     }
     update_peers();
 }
@@ -118,9 +123,11 @@
 }
 
 void durable_entry::call_store(const store_request& request) {
-    store_.call(request.call, request.timeout, [this, id = request.id](const store_reply& reply) {
-        run([&] { core_.store_replied(id, reply, clock_.now(), clock_.wall_now()); });
-    });
+    store_.call(request.call, request.timeout,
+                [this, request, called = clock_.now()](const store_reply& reply) {
+                    metrics_.store_calls().answered(request.call, reply, clock_.now() - called);
+                    run([&] { core_.store_replied(request.id, reply, clock_.now(), clock_.wall_now()); });
+                });
 }
 
 void durable_entry::received(link_number link, const work_message& message) {
@@ -148,7 +155,7 @@
 caller_token durable_entry::submit(job_submission request, reply_handler on_reply) {
     const caller_token token = ++last_token_;
     request.token = token;
-    replies_[token] = std::move(on_reply);
+    replies_[token] = {std::move(on_reply), clock_.now()};
     run([&] { core_.submit(request, clock_.now(), clock_.wall_now()); });
     return token;
 }
@@ -160,13 +167,13 @@
 
 void durable_entry::ask_state(const job_id& job, time_point answer_by, reply_handler on_reply) {
     const caller_token token = ++last_token_;
-    replies_[token] = std::move(on_reply);
+    replies_[token] = {std::move(on_reply), clock_.now()};
     run([&] { core_.ask_state(token, job, answer_by, clock_.now()); });
 }
 
 void durable_entry::cancel(const job_id& job, time_point answer_by, reply_handler on_reply) {
     const caller_token token = ++last_token_;
-    replies_[token] = std::move(on_reply);
+    replies_[token] = {std::move(on_reply), clock_.now()};
     run([&] { core_.cancel(token, job, answer_by, clock_.now(), clock_.wall_now()); });
 }
 
@@ -179,6 +186,11 @@
     run([this] { core_.answer_all(); });
 }
 
+std::string durable_entry::metrics_text() {
+    metrics_.observe(core_);
+    return metrics_.prometheus_text();
+}
+
 void durable_entry::stop() {
     is_stopped_ = true;
     timer_.cancel();
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry_core.h"
+#include "daemon/entry_metrics.h"
 #include "daemon/link_hub.h"
 #include "daemon/store_router.h"
 #include "protocol/daemon_settings.h"
@@ -55,6 +56,8 @@
     bool is_ready() const { return core_.is_ready(); }
     bool is_shutting_down() const { return core_.is_shutting_down(); }
     const entry_core& core() const { return core_; }
+    // The metrics as they are now, in the Prometheus text format.
+    std::string metrics_text();
 
     // Refuses new jobs after the first time, and hands the open ones over after the second.
     void begin_shutdown(milliseconds refuse_after, milliseconds hand_over_after);
@@ -81,7 +84,12 @@
     time_point timer_due_{};
     std::string own_address_;
     caller_token last_token_ = 0;
-    std::unordered_map<caller_token, reply_handler> replies_;
+    struct open_request {
+        reply_handler on_reply;
+        time_point arrived{};
+    };
+    std::unordered_map<caller_token, open_request> replies_;
+    entry_metrics metrics_;
     std::set<std::string> dialed_;
     bool is_flushing_ = false;
     bool is_stopped_ = false;
--- /dev/null
+++ b/daemon/entry_metrics.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "coordination/caller_reply.h"
+#include "coordination/entry_timing.h"
+#include "daemon/store_call_metrics.h"
+#include "transport/duration_histogram.h"
+#include "transport/gauge.h"
+#include "transport/metric_registry.h"
+#include "transport/text_counter_family.h"
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace persimmonstile {
+
+class entry_core;
+
+// Metrics of an entry whose jobs are kept in the store.
+class entry_metrics {
+public:
+    entry_metrics();
+
+    // The body of GET /metrics.
+    std::string prometheus_text() const { return registry_.prometheus_text(); }
+
+    void decided(std::string_view what) { decisions_.add({what}); }
+    void measured(entry_timing what, std::chrono::nanoseconds time);
+    // elapsed is the time since the request arrived.
+    void replied(const caller_reply& reply, std::chrono::nanoseconds elapsed);
+    store_call_metrics& store_calls() { return store_calls_; }
+    // Sets the gauges.
+    void observe(const entry_core& core);
+
+private:
+    metric_registry registry_;
+    text_counter_family decisions_{
+        "persimmonstile_decisions_total", "Decisions, also those that the log leaves out.", {"decision"}};
+    text_counter_family replies_{"persimmonstile_replies_total",
+                                 "Answers to callers by kind, and state of the job.",
+                                 {"kind", "state"}};
+    text_counter_family refusals_{"persimmonstile_job_refusals_total", "Refused jobs by reason.", {"reason"}};
+    duration_histogram response_{"persimmonstile_response_seconds",
+                                 "Time from a request's arrival to its answer."};
+    duration_histogram queue_{"persimmonstile_queue_seconds",
+                              "Time from a job's arrival to the placement of its first task."};
+    duration_histogram start_{"persimmonstile_start_seconds",
+                              "Time from a task's placement to the news that it runs."};
+    duration_histogram run_{"persimmonstile_run_seconds", "Time of a task at its backend server."};
+    duration_histogram record_{"persimmonstile_record_seconds",
+                               "Time from the end of a job to its record in the store."};
+    gauge open_jobs_{"persimmonstile_open_jobs", "Jobs that have not ended."};
+    gauge agents_{"persimmonstile_agents_connected", "Connected agents."};
+    gauge peers_{"persimmonstile_entries_connected", "Connected other entries."};
+    gauge session_{"persimmonstile_session_open", "1 while this entry owns jobs in the store."};
+    gauge configuration_version_{"persimmonstile_configuration_version",
+                                 "Version of the operators' configuration in use."};
+    gauge configuration_revision_{"persimmonstile_configuration_revision",
+                                  "Revision of the store of the newest operators' record."};
+    store_call_metrics store_calls_;
+};
+
+} // namespace persimmonstile
--- a/daemon/link_hub.cpp
+++ b/daemon/link_hub.cpp
@@ -66,9 +66,7 @@
                       {{"link", link}});
             close(link, "malformed frame");
         },
-        [this, link](const std::string& reason) {
-            closed(link, reason);
-        });
+        [this, link](const std::string& reason) { closed(link, reason); });
     on_event_.opened(link, !dialed_address.empty());
 }
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -23,6 +23,8 @@
 constexpr int exit_findings = 1;
 constexpr int exit_usage = 2;
 constexpr std::chrono::milliseconds drain_poll_interval{20};
+// Wait for a reader of the log that is slow, before the process ends.
+constexpr std::chrono::milliseconds last_lines_limit{100};
 constexpr const char* component = "daemon";
 
 // Runs a daemon until SIGTERM or SIGINT and its graceful shutdown. A second signal ends it at once.
@@ -60,7 +62,9 @@
 
 int run_with_settings(const daemon_settings& settings, const std::string& settings_path) {
     const system_clock_source clock;
-    start_logging(parse_log_level(settings.log_level).value_or(log_level::info), clock);
+    start_logging({parse_log_level(settings.log_level).value_or(log_level::info),
+                   log_options::standard_output, settings.name},
+                  clock);
     if (settings.deployment == deployment_kind::hangerloop) {
         if (settings.role == daemon_role::entry)
             platform::run_entry(settings, settings_path);
@@ -68,7 +72,7 @@
             platform::run_agent(settings, settings_path);
         // The logging library waits for its worker threads when static objects are destroyed, which has taken
         // longer than the platform's grace period.
-        std::cout.flush();
+        flush_log(last_lines_limit);
         std::quick_exit(exit_done);
     }
     if (settings.role == daemon_role::entry) {
@@ -78,6 +82,7 @@
         agent_daemon daemon{settings, clock};
         run(daemon, settings);
     }
+    flush_log(last_lines_limit);
     return exit_done;
 }
 
--- a/transport/logging.h
+++ b/transport/logging.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "state/clock_source.h"
+#include "state/time.h"
 #include "transport/log_field.h"
 #include "transport/log_level.h"
 
 #include <atomic>
 #include <initializer_list>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace persimmonstile {
@@ -21,10 +23,27 @@
 
 } // namespace detail
 
-// Writes log lines of at least this level to standard error from now on, each a JSON object with time, level,
-// component, message and, if there are any, fields. The clock must outlive the process's last log line.
-// Nothing is written before the first call. A further call changes level and clock.
-void start_logging(log_level threshold, const clock_source& clock);
+// Where log lines go and which are written.
+struct log_options {
+    log_level threshold = log_level::info;
+    // Descriptor of the stream that the lines are written to.
+    int descriptor = standard_output;
+    // Name of the process, in each line unless it is empty.
+    std::string process;
+
+    static constexpr int standard_output = 1;
+    static constexpr int standard_error = 2;
+};
+
+// Writes log lines from now on, each a JSON object with time, process, level, component, message and, if
+// there are any, fields. Writing happens on a thread of its own and never delays the caller; lines that the
+// reader is too slow for are left out, and a later line counts them. The clock must outlive the process's
+// last log line. Nothing is written before the first call; a further call changes the options.
+void start_logging(const log_options& options, const clock_source& clock);
+
+// Waits until the lines so far are written, at most for the limit; false if some are not. To be called before
+// the process ends.
+bool flush_log(milliseconds limit);
 
 // Changes the least level of the lines that are written.
 void set_log_threshold(log_level threshold);
@@ -33,9 +52,9 @@
     return level >= detail::log_threshold.load(std::memory_order_relaxed);
 }
 
-// Writes one line. The message is a constant text; what varies belongs into the fields, because warnings and
-// errors with the same component and message are limited (see repeat_limiter) and a later line carries the
-// number of those left out in "suppressed". Thread-safe.
+// Writes one line. The message is a constant text; what varies belongs into the fields, because lines with
+// the same component and message are limited (see repeat_limiter) and a later one carries the number of those
+// left out in "suppressed". Thread-safe.
 inline void log_event(log_level level, std::string_view component, std::string_view message,
                       std::initializer_list<log_field> fields = {}) {
     if (is_log_enabled(level)) {
