--- a/tests/documentation_test.cpp
+++ b/tests/documentation_test.cpp
@@ -20,7 +20,7 @@
     if (!std::filesystem::exists(folder)) {
         folder = std::filesystem::current_path();
     }
-    while (!std::filesystem::exists(folder / "docs" / "operations.md") && folder != folder.root_path()) {
+    while (!std::filesystem::exists(folder / "docs" / "OPERATIONS.md") && folder != folder.root_path()) {
         folder = folder.parent_path();
     }
     return folder;
@@ -28,7 +28,7 @@
 
 std::string operations_page() {
     std::ostringstream text;
-    text << std::ifstream{source_folder() / "docs" / "operations.md"}.rdbuf();
+    text << std::ifstream{source_folder() / "docs" / "OPERATIONS.md"}.rdbuf();
     return text.str();
 }
 
