Notice lost orders as soon as answers usually come

Cause: an agent waited a fixed 60 ms or more for the answer to a start order, far above the usual answer; each lost order cost a third of the patience that callers have on the sites with short objectives. Change: round_trip_estimate learns the time of an answer; order timeouts lie between 15 and 60 ms, holds wait 60 ms, a silent owner is noticed after 200 ms. Tests: three in agent_core_test, load_world_test plays the load; the one with lost orders fails with the old figures.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -12,7 +12,9 @@
     , zone_{std::move(zone)}
     , limits_{limits}
     , started_{now}
-    , lease_bound_{now + limits.lease_bound()} {}
+    , lease_bound_{now + limits.lease_bound()}
+    , order_trip_{limits.longest_order_timeout, limits.shortest_order_timeout, limits.longest_order_timeout} {
+}
 
 void agent_core::note(std::string_view what, const job_id& job,
                       std::vector<std::pair<std::string_view, decision::value>> inputs, bool is_warning) {
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -6,6 +6,7 @@
 #include "coordination/backend_clock.h"
 #include "coordination/backend_reply.h"
 #include "coordination/end_acknowledger.h"
+#include "coordination/round_trip_estimate.h"
 #include "coordination/run_table.h"
 #include "state/agent_profile.h"
 #include "state/incarnation.h"
@@ -112,6 +113,7 @@
     void order_stop(run_record& record, time_point now);
     void order_hold(time_point now);
     void raise_token(time_point now);
+    bool renews_lease(time_point now) const;
     bool needs_hold() const;
     std::uint64_t end_to_acknowledge(time_point now) const;
     bool is_hold_due(time_point now) const;
@@ -188,6 +190,8 @@
     bool is_raise_wanted_ = false;
     // Unanswered hold orders in a row.
     unsigned unanswered_holds_ = 0;
+    // Of orders that are answered at once.
+    round_trip_estimate order_trip_;
 
     std::map<link_number, link_state> links_;
     std::map<incarnation, owner_state> owners_;
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -19,21 +19,26 @@
         constexpr milliseconds margin{30};
         return asked_lease() + asked_lease() / 50 + margin;
     }
-    // A waiting hold order is answered after this time at the latest, so that the lease is renewed several
-    // times within its length and stalled tasks are seen.
-    milliseconds hold_wait{150};
-    // A backend server on the same machine answers within a few milliseconds; a slowed agent needs ten times
-    // as long. Raising the token after a false alarm costs one more order.
-    milliseconds order_timeout{60};
+    // A waiting hold order is answered after this time at the latest. If its answer is lost, the ends of runs
+    // are seen this much later, which is a third of the objective of the shortest tasks (156 ms).
+    milliseconds hold_wait{60};
+    // Bounds of the time after which an order counts as unanswered. It is learnt from the answers: a backend
+    // server on the same machine answers within a millisecond, but a slowed agent reads it much later.
+    // Raising the token after a false alarm costs one more order.
+    milliseconds shortest_order_timeout{15};
+    milliseconds longest_order_timeout{60};
+    // A backend server counts as silent if it answered no order that was sent later than this. Two unanswered
+    // orders may be bad luck where some of them are lost.
+    milliseconds silence_limit{200};
     // An acknowledgement is sent only if the backend server answered an order that is not older. One that has
     // started again since would take the numbers for its own, and a start takes longer than this.
     milliseconds acknowledgement_age{400};
     // Pause before a backend server that does not answer is asked again.
     milliseconds retry_pause{100};
     // Start orders that are on their way at the same time. Each needs a connection.
-    std::size_t parallel_starts = 4;
+    std::size_t parallel_starts = 8;
     // A run that waits longer for room goes back to its owner, which may know a better place.
-    milliseconds queue_patience{120};
+    milliseconds queue_patience{60};
     // Least time between two messages to one entry that only tell the room.
     milliseconds room_interval{20};
     // Interval of the pings by which the agent learns that an entry lives.
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -82,12 +82,17 @@
     record.ordered = now;
     record.order_token = token_;
     ++starts_in_flight_;
-    send(start_order{record.run, *record.payload, record.checkpoint}, limits_.order_timeout, now);
+    send(start_order{record.run, *record.payload, record.checkpoint}, order_trip_.timeout(), now);
 }
 
 void agent_core::order_stop(run_record& record, time_point now) {
     record.stop_ordered = true;
-    send(stop_order{record.run}, limits_.order_timeout, now);
+    send(stop_order{record.run}, order_trip_.timeout(), now);
+}
+
+// Lost answers are no reason to let the lease run out; a silent backend server must run out of it.
+bool agent_core::renews_lease(time_point now) const {
+    return unanswered_holds_ <= 1 || now - last_reply_ < limits_.silence_limit;
 }
 
 bool agent_core::needs_hold() const {
@@ -107,9 +112,8 @@
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
     hold.wait = is_silent_ ? milliseconds{0} : limits_.hold_wait;
-    // One lost answer is no reason to let the lease run out; a silent backend server must run out of it.
-    hold.renews = unanswered_holds_ <= 1;
-    const milliseconds timeout = hold.wait + limits_.order_timeout;
+    hold.renews = renews_lease(now);
+    const milliseconds timeout = hold.wait + order_trip_.timeout();
     hold_ = send(hold, timeout, now);
 }
 
@@ -119,8 +123,8 @@
     token_ = std::max(token_ + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, clock_.at(now))));
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
-    hold.renews = unanswered_holds_ <= 1;
-    raise_ = send(hold, limits_.order_timeout, now);
+    hold.renews = renews_lease(now);
+    raise_ = send(hold, order_trip_.timeout(), now);
 }
 
 void agent_core::replied(const backend_reply& reply, time_point now) {
@@ -152,6 +156,13 @@
     // A process that was stopped reads old answers late, so the time of the order counts.
     if (reply.life != 0)
         last_reply_ = std::max(last_reply_, sent.sent);
+    const auto* hold = std::get_if<hold_order>(&sent.order.action);
+    if (hold == nullptr || hold->wait.count() == 0) {
+        if (reply.verdict == backend_verdict::no_answer)
+            order_trip_.missing();
+        else if (reply.verdict != backend_verdict::not_sent)
+            order_trip_.answered(now - sent.sent);
+    }
     if (std::holds_alternative<start_order>(sent.order.action))
         start_replied(sent, reply, now);
     else if (std::holds_alternative<stop_order>(sent.order.action))
@@ -251,13 +262,15 @@
         return;
     }
     ++unanswered_holds_;
-    const milliseconds pause = unanswered_holds_ <= 1 ? milliseconds{0} : limits_.retry_pause;
+    milliseconds pause{0};
+    if (unanswered_holds_ > 1)
+        pause = renews_lease(now) ? limits_.shortest_order_timeout : limits_.retry_pause;
     next_hold_ = now + pause;
     if (is_raise) {
         is_raise_wanted_ = true;
         next_raise_ = now + pause;
     }
-    if (unanswered_holds_ >= 2 && !is_silent_) {
+    if (!renews_lease(now) && !is_silent_) {
         is_silent_ = true;
         note("backend server does not answer", {}, {{"backend", backend_.id}}, true);
         refuse_queued(run_refusal::no_backend, now);
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -460,5 +460,71 @@
     EXPECT_TRUE(was_found);
 }
 
+// Guards against a start order whose loss costs a short task its objective: a backend server on the same
+// machine answers within a millisecond, so a missing answer is noticed soon, and the waiting order for news
+// comes back well before the shortest objective (156 ms).
+TEST_F(agent_core_test, waits_for_answers_as_long_as_they_usually_take) {
+    prepare();
+    constexpr milliseconds shortest_objective{156};
+    for (task_index i = 0; i < 20; ++i) {
+        send_starts(1, false, "job" + std::to_string(i));
+        const auto start = take_order<start_order>();
+        ASSERT_TRUE(start);
+        now_ += milliseconds{1};
+        answer(*start, backend_verdict::accepted);
+        const auto hold = take_order<hold_order>();
+        ASSERT_TRUE(hold);
+        EXPECT_LT(hold->timeout, shortest_objective * 2 / 3);
+        answer(*hold, backend_verdict::accepted, {},
+               {{i + 1, run_of(0, "job" + std::to_string(i)), run_state::done, {}}});
+    }
+    send_starts(1, false, "last");
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_LE(start->timeout, shortest_objective / 6);
+}
+
+// Guards against false alarms at an agent that is slowed down and reads answers late.
+TEST_F(agent_core_test, waits_longer_where_answers_take_longer) {
+    prepare();
+    constexpr milliseconds usual{25};
+    for (task_index i = 0; i < 20; ++i) {
+        send_starts(1, false, "job" + std::to_string(i));
+        const auto start = take_order<start_order>();
+        ASSERT_TRUE(start);
+        now_ += usual;
+        hear();
+        answer(*start, backend_verdict::accepted);
+        const auto hold = take_order<hold_order>();
+        ASSERT_TRUE(hold);
+        answer(*hold, backend_verdict::accepted, {},
+               {{i + 1, run_of(0, "job" + std::to_string(i)), run_state::done, {}}});
+    }
+    send_starts(1, false, "last");
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_GT(start->timeout, usual);
+}
+
+// Guards against a backend server that gets no work because two answers in a row were lost on the way.
+TEST_F(agent_core_test, does_not_take_two_lost_answers_for_silence) {
+    prepare();
+    send_starts(1, false);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    for (int i = 0; i < 2; ++i) {
+        const auto hold = take_order<hold_order>();
+        ASSERT_TRUE(hold);
+        now_ += milliseconds{20};
+        answer(*hold, backend_verdict::no_answer);
+        pass(milliseconds{20});
+    }
+    const auto hold = take_order<hold_order>();
+    ASSERT_TRUE(hold);
+    EXPECT_TRUE(std::get<hold_order>(hold->action).renews);
+    send_starts(1, false, "next");
+    EXPECT_FALSE(was_reported(run_of(0, "next"), run_state::refused));
+    EXPECT_TRUE(take_order<start_order>());
+}
+
 } // namespace
 } // namespace persimmonstile
--- /dev/null
+++ b/tests/load_world.h
@@ -0,0 +1,492 @@
+#pragma once
+
+#include "coordination/agent_core.h"
+#include "coordination/entry_core.h"
+#include "standins/order_backend.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace persimmonstile {
+
+// A kind of job in a load: how many come, how wide they are, and how long their tasks work.
+struct load_class {
+    std::string queue;
+    double jobs_per_second = 0;
+    double mean_tasks = 1;
+    milliseconds mean_work{100};
+    std::int64_t millicores = 1000;
+    std::uint32_t priority = 0;
+};
+
+// What became of the callers of one kind of job, and how many jobs there were.
+struct load_outcome {
+    std::size_t jobs = 0;
+    // Answered within the objective, within three times of it, and later.
+    std::size_t in_time = 0;
+    std::size_t late = 0;
+    std::size_t too_late = 0;
+    std::size_t refused = 0;
+    // No answer, or one that says nothing.
+    std::size_t unanswered = 0;
+    // Time from the submission to a refusal, at most.
+    milliseconds slowest_refusal{0};
+
+    double in_time_part() const {
+        return jobs == 0 ? 1 : static_cast<double>(in_time) / static_cast<double>(jobs);
+    }
+};
+
+// Plays a load against entries and agents with their decision logic, in simulated time and without a network:
+// messages take time on the way, and every process handles them one after the other at its own pace. Jobs
+// live with their callers' calls. A load is a function of its options.
+class load_world {
+public:
+    struct options {
+        std::uint64_t seed = 1;
+        int entries = 3;
+        int agents = 11;
+        // Room of backend servers in turn, and their speeds.
+        std::vector<std::int64_t> millicores{32000, 32000, 48000};
+        std::vector<double> speeds{0.7, 0.7, 1.7};
+        std::vector<load_class> classes;
+        milliseconds length{8000};
+        // The traffic is multiplied by this in between.
+        double burst = 1;
+        milliseconds burst_begin{2000};
+        milliseconds burst_end{5000};
+        // Processor time of one message at an entry and at an agent of usual pace.
+        std::chrono::microseconds entry_cost{200};
+        std::chrono::microseconds agent_cost{200};
+        // Part of the orders that get no answer and are carried out seconds later.
+        double late_orders = 0;
+        agent_limits agent_figures;
+        entry_limits entry_figures;
+    };
+
+    explicit load_world(const options& chosen)
+        : options_{chosen}
+        , random_{chosen.seed}
+        , traffic_random_{chosen.seed} {
+        for (int i = 0; i < options_.entries; ++i)
+            make_entry(i);
+        for (int i = 0; i < options_.agents; ++i)
+            make_agent(i);
+    }
+
+    // Multiplies the processor time of an entry's messages.
+    void slow_down_entry(int index, double factor, milliseconds begin, milliseconds end) {
+        at(time_point{begin}, [this, index, factor] { entries_[index]->pace = factor; });
+        at(time_point{end}, [this, index] { entries_[index]->pace = 1; });
+    }
+
+    // Tasks of this backend server make no progress, or fail.
+    void hang_backend(int index, milliseconds begin, milliseconds end) {
+        at(time_point{begin}, [this, index] { agents_[index]->backend.set_hanging(true); });
+        at(time_point{end}, [this, index] { agents_[index]->backend.set_hanging(false); });
+    }
+
+    const std::map<std::string, load_outcome>& run() {
+        for (const auto& node : agents_)
+            at(time_point{warm_up / 2}, [this, agent = node.get()] { announce(*agent); });
+        at(time_point{milliseconds{0}}, [this] { tick(); });
+        for (const load_class& kind : options_.classes)
+            schedule_next(kind, time_point{warm_up});
+        const time_point end{warm_up + options_.length + drain};
+        while (!events_.empty() && events_.top().when < end) {
+            const event next = events_.top();
+            events_.pop();
+            now_ = next.when;
+            next.action();
+        }
+        for (const auto& [token, call] : calls_)
+            ++outcomes_[call.queue].unanswered;
+        return outcomes_;
+    }
+
+    load_outcome total() const {
+        load_outcome sum;
+        for (const auto& [queue, outcome] : outcomes_) {
+            sum.jobs += outcome.jobs;
+            sum.in_time += outcome.in_time;
+            sum.late += outcome.late;
+            sum.too_late += outcome.too_late;
+            sum.refused += outcome.refused;
+            sum.unanswered += outcome.unanswered;
+            sum.slowest_refusal = std::max(sum.slowest_refusal, outcome.slowest_refusal);
+        }
+        return sum;
+    }
+
+    std::size_t messages() const { return messages_; }
+    // Runs that an agent sent back because they had no room.
+    std::size_t bounced() const { return bounced_; }
+    // Whether a backend server ever had more to do than it has room.
+    bool is_room_kept() const { return is_room_kept_; }
+    static constexpr milliseconds begin_of_traffic() { return warm_up; }
+
+private:
+    static constexpr milliseconds warm_up{2000};
+    static constexpr milliseconds drain{6000};
+    static constexpr milliseconds tick_interval{20};
+    static constexpr milliseconds backend_step{2};
+    static constexpr double stretch = 1.6;
+    static constexpr milliseconds slack{60};
+    // A caller waits for three times its objective and this.
+    static constexpr milliseconds extra_patience{1500};
+
+    struct event {
+        time_point when;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const event& other) const {
+            return std::pair{when, order} > std::pair{other.when, other.order};
+        }
+    };
+
+    struct process {
+        std::string name;
+        double pace = 1;
+        time_point busy_until{};
+    };
+
+    struct entry_node : process {
+        std::unique_ptr<entry_core> core;
+    };
+
+    struct agent_node : process {
+        std::unique_ptr<agent_core> core;
+        order_backend backend;
+        std::int64_t millicores = 0;
+        std::map<run_ref, std::int64_t> running;
+        std::int64_t used = 0;
+        explicit agent_node(backend_profile profile)
+            : backend{std::move(profile)} {}
+    };
+
+    struct open_call {
+        std::string queue;
+        time_point sent{};
+        milliseconds objective{0};
+        bool is_late_or_gone = false;
+    };
+
+    void at(time_point when, std::function<void()> action) {
+        events_.push({when, ++order_, std::move(action)});
+    }
+    std::int64_t pick(std::int64_t below) {
+        return std::uniform_int_distribution<std::int64_t>{0, std::max<std::int64_t>(0, below - 1)}(random_);
+    }
+
+    void make_entry(int index) {
+        auto node = std::make_unique<entry_node>();
+        node->name = "entry" + std::to_string(index);
+        member_entry self;
+        self.session.name = node->name;
+        self.peer_address = node->name;
+        self.zone = "zone" + std::to_string(index % 3);
+        node->core =
+            std::make_unique<entry_core>(incarnation{node->name, 1}, self, options_.entry_figures, "op/",
+                                         options_.seed + static_cast<std::uint64_t>(index), [] { return 1; });
+        auto config = std::make_shared<deployment_config>();
+        config->version = 1;
+        for (const load_class& kind : options_.classes) {
+            queue_policy queue;
+            queue.name = kind.queue;
+            queue.service = "service";
+            queue.attempts = 3;
+            queue.priority = kind.priority;
+            queue.stretch = stretch;
+            queue.slack = slack;
+            config->queues.push_back(queue);
+        }
+        node->core->set_config(config, now_);
+        entries_.push_back(std::move(node));
+    }
+
+    void make_agent(int index) {
+        backend_profile profile;
+        profile.id = "backend" + std::to_string(index);
+        profile.life = 1;
+        profile.service = "service";
+        profile.zone = "zone" + std::to_string(index % 3);
+        const auto kind = static_cast<std::size_t>(index);
+        profile.capacity = {options_.millicores[kind % options_.millicores.size()], 1 << 20, 0};
+        auto node = std::make_unique<agent_node>(profile);
+        node->name = "agent" + std::to_string(index);
+        node->millicores = profile.capacity.cpu_millicores;
+        node->backend.set_slowness(1 / options_.speeds[kind % options_.speeds.size()]);
+        node->core = std::make_unique<agent_core>(incarnation{node->name, 1}, profile.zone,
+                                                  options_.agent_figures, now_);
+        agents_.push_back(std::move(node));
+        // Links are numbered so that both sides and the direction follow from the number.
+        for (int entry = 0; entry < options_.entries; ++entry) {
+            agent_node& agent = *agents_.back();
+            const link_number link = link_between(entry, index);
+            agent.core->link_opened(link, now_);
+            entries_[entry]->core->link_opened(link, false, now_);
+        }
+    }
+
+    link_number link_between(int entry, int agent) const {
+        return 1 + static_cast<link_number>(agent) * static_cast<link_number>(options_.entries) +
+               static_cast<link_number>(entry);
+    }
+
+    void announce(agent_node& agent) {
+        handle(agent, options_.agent_cost, [this, &agent] {
+            agent.core->announced(agent.backend.announce(now_), now_);
+            flush(agent);
+        });
+        at(now_ + milliseconds{1500}, [this, &agent] { announce(agent); });
+    }
+
+    // A process handles one thing after the other.
+    void handle(process& node, std::chrono::microseconds cost, std::function<void()> action) {
+        const auto time = std::chrono::microseconds{
+            static_cast<std::int64_t>(static_cast<double>(cost.count()) * node.pace)};
+        node.busy_until = std::max(now_, node.busy_until) + time;
+        at(node.busy_until, std::move(action));
+    }
+
+    void tick() {
+        for (const auto& node : entries_)
+            handle(*node, options_.entry_cost, [this, entry = node.get()] {
+                entry->core->tick(now_, wall_time{} + now_.time_since_epoch());
+                flush(*entry);
+            });
+        for (const auto& node : agents_) {
+            handle(*node, options_.agent_cost, [this, agent = node.get()] {
+                agent->core->tick(now_);
+                flush(*agent);
+            });
+        }
+        at(now_ + tick_interval, [this] { tick(); });
+    }
+
+    std::chrono::microseconds way() { return std::chrono::microseconds{200 + pick(1600)}; }
+
+    void flush(entry_node& node) {
+        entry_output output = node.core->take_output(now_);
+        const int entry =
+            static_cast<int>(std::find_if(entries_.begin(), entries_.end(),
+                                          [&](const auto& other) { return other.get() == &node; }) -
+                             entries_.begin());
+        for (auto& [link, message] : output.messages) {
+            agent_node& agent = *agents_[(link - 1) / static_cast<link_number>(options_.entries)];
+            deliver(link, true, agent, options_.agent_cost, [this, &agent, link = link, message = message] {
+                agent.core->received(link, message, now_);
+                flush(agent);
+            });
+        }
+        for (const caller_reply& reply : output.replies)
+            take_reply(entry, reply);
+    }
+
+    void flush(agent_node& node) {
+        agent_output output = node.core->take_output(now_);
+        for (auto& [link, message] : output.messages) {
+            if (const auto* reports = std::get_if<run_reports>(&message)) {
+                for (const run_report& report : reports->reports) {
+                    if (report.state == run_state::refused && report.reason == run_refusal::no_room)
+                        ++bounced_;
+                }
+            }
+            entry_node& entry = *entries_[(link - 1) % static_cast<link_number>(options_.entries)];
+            deliver(link, false, entry, options_.entry_cost, [this, &entry, link = link, message = message] {
+                entry.core->received(link, message, now_, wall_time{} + now_.time_since_epoch());
+                flush(entry);
+            });
+        }
+        for (const backend_order& order : output.orders)
+            carry_out(node, order);
+    }
+
+    // Messages of one direction keep their order.
+    void deliver(link_number link, bool to_agent, process& receiver, std::chrono::microseconds cost,
+                 std::function<void()> action) {
+        ++messages_;
+        time_point& last = last_arrival_[{link, to_agent}];
+        last = std::max(last, now_ + way());
+        at(last, [this, &receiver, cost, action = std::move(action)] { handle(receiver, cost, action); });
+    }
+
+    void carry_out(agent_node& agent, const backend_order& order) {
+        if (std::uniform_real_distribution<double>{0, 1}(random_) < options_.late_orders) {
+            at(now_ + milliseconds{2000 + pick(10000)}, [this, &agent, order] {
+                agent.backend.carry_out(order, now_);
+                watch_room(agent);
+            });
+            backend_reply missing;
+            missing.id = order.id;
+            at(now_ + order.timeout, [this, &agent, missing] { answer(agent, missing); });
+            return;
+        }
+        at(now_ + std::chrono::microseconds{300}, [this, &agent, order] {
+            const auto* hold = std::get_if<hold_order>(&order.action);
+            const backend_reply reply = agent.backend.carry_out(order, now_);
+            watch_room(agent);
+            if (hold != nullptr && hold->wait.count() > 0)
+                wait_for_news(agent, order, now_ + hold->wait);
+            else
+                at(now_ + std::chrono::microseconds{300}, [this, &agent, reply] { answer(agent, reply); });
+        });
+    }
+
+    void answer(agent_node& agent, const backend_reply& reply) {
+        handle(agent, options_.agent_cost, [this, &agent, reply] {
+            agent.core->replied(reply, now_);
+            flush(agent);
+        });
+    }
+
+    void wait_for_news(agent_node& agent, const backend_order& order, time_point until) {
+        agent.backend.advance(now_);
+        watch_room(agent);
+        const auto& hold = std::get<hold_order>(order.action);
+        if (!agent.backend.has_news(hold.acknowledged_end) && now_ < until) {
+            at(now_ + backend_step, [this, &agent, order, until] { wait_for_news(agent, order, until); });
+            return;
+        }
+        backend_order again = order;
+        std::get<hold_order>(again.action).renews = false;
+        answer(agent, agent.backend.carry_out(again, now_));
+    }
+
+    void watch_room(agent_node& agent) {
+        for (const order_backend::event& happened : agent.backend.take_events()) {
+            if (happened.what == order_backend::event::kind::started) {
+                const std::int64_t needs = needs_[happened.run.task.job];
+                agent.running[happened.run] = needs;
+                agent.used += needs;
+            } else if (const auto found = agent.running.find(happened.run); found != agent.running.end()) {
+                agent.used -= found->second;
+                agent.running.erase(found);
+            }
+        }
+        // Orders that were carried out late are the backend server's affair.
+        if (agent.used > agent.millicores && options_.late_orders == 0)
+            is_room_kept_ = false;
+    }
+
+    // ---- Callers ----
+
+    void schedule_next(const load_class& kind, time_point from) {
+        const milliseconds since{std::chrono::duration_cast<milliseconds>(from.time_since_epoch()) - warm_up};
+        if (since >= options_.length)
+            return;
+        const bool is_burst = since >= options_.burst_begin && since < options_.burst_end;
+        const double rate = kind.jobs_per_second * (is_burst ? options_.burst : 1);
+        const double pause = std::exponential_distribution<double>{rate}(traffic_random_);
+        const time_point next = from + std::chrono::microseconds{static_cast<std::int64_t>(1e6 * pause)};
+        at(next, [this, &kind, next] {
+            submit(kind);
+            schedule_next(kind, next);
+        });
+    }
+
+    void submit(const load_class& kind) {
+        constexpr double spread = 0.4;
+        std::lognormal_distribution<double> around{-spread * spread / 2, spread};
+        const int number = ++last_job_;
+        const std::string digits = std::to_string(number);
+        job_submission request;
+        request.job = std::string(16 - digits.size(), '0') + digits;
+        request.queue = kind.queue;
+        request.token = static_cast<caller_token>(number);
+        request.plan.is_kept = false;
+        job_step step;
+        step.task_count = static_cast<std::uint32_t>(
+            std::max<std::int64_t>(1, std::llround(kind.mean_tasks * around(traffic_random_))));
+        step.task_needs = {kind.millicores, 64, 0};
+        step.estimate_ms = kind.mean_work.count();
+        request.plan.steps.push_back(step);
+        needs_[request.job] = kind.millicores;
+        milliseconds longest{1};
+        for (task_index i = 0; i < step.task_count; ++i) {
+            const milliseconds work{std::max<std::int64_t>(
+                1, std::llround(static_cast<double>(kind.mean_work.count()) * around(traffic_random_)))};
+            longest = std::max(longest, work);
+            for (const auto& agent : agents_)
+                agent->backend.set_work({request.job, 0, 0, i}, work);
+        }
+        const milliseconds objective{
+            static_cast<std::int64_t>(stretch * static_cast<double>(longest.count())) + slack.count()};
+        const milliseconds patience = 3 * objective + extra_patience;
+        request.answer_by = now_ + patience;
+        ++outcomes_[kind.queue].jobs;
+        const int entry = std::uniform_int_distribution<int>{0, options_.entries - 1}(traffic_random_);
+        const caller_token token = request.token;
+        calls_[token] = {kind.queue, now_, objective};
+        at(now_ + way(), [this, entry, request] {
+            handle(*entries_[entry], 3 * options_.entry_cost, [this, entry, request] {
+                entries_[entry]->core->submit(request, now_, wall_time{} + now_.time_since_epoch());
+                flush(*entries_[entry]);
+            });
+        });
+        at(now_ + patience, [this, entry, token] {
+            const auto found = calls_.find(token);
+            if (found == calls_.end())
+                return;
+            ++outcomes_[found->second.queue].unanswered;
+            calls_.erase(found);
+            handle(*entries_[entry], options_.entry_cost, [this, entry, token] {
+                entries_[entry]->core->caller_left(token);
+                flush(*entries_[entry]);
+            });
+        });
+    }
+
+    void take_reply(int, const caller_reply& reply) {
+        at(now_ + way(), [this, reply] {
+            const auto found = calls_.find(reply.token);
+            if (found == calls_.end())
+                return;
+            const open_call call = found->second;
+            calls_.erase(found);
+            load_outcome& outcome = outcomes_[call.queue];
+            const auto took = std::chrono::duration_cast<milliseconds>(now_ - call.sent);
+            if (reply.kind == caller_reply_kind::refused) {
+                ++outcome.refused;
+                outcome.slowest_refusal = std::max(outcome.slowest_refusal, took);
+            } else if (reply.kind != caller_reply_kind::state || reply.state != job_state::completed) {
+                ++outcome.unanswered;
+            } else if (took <= call.objective) {
+                ++outcome.in_time;
+            } else if (took <= 3 * call.objective) {
+                ++outcome.late;
+            } else {
+                ++outcome.too_late;
+            }
+        });
+    }
+
+    options options_;
+    std::mt19937_64 random_;
+    // Apart, so that the same jobs come whatever the system decides.
+    std::mt19937_64 traffic_random_;
+    time_point now_{};
+    std::uint64_t order_ = 0;
+    std::priority_queue<event> events_;
+    std::vector<std::unique_ptr<entry_node>> entries_;
+    std::vector<std::unique_ptr<agent_node>> agents_;
+    std::map<std::pair<link_number, bool>, time_point> last_arrival_;
+    std::map<std::string, std::int64_t> needs_;
+    std::map<caller_token, open_call> calls_;
+    std::map<std::string, load_outcome> outcomes_;
+    int last_job_ = 0;
+    std::size_t messages_ = 0;
+    std::size_t bounced_ = 0;
+    bool is_room_kept_ = true;
+};
+
+} // namespace persimmonstile
--- /dev/null
+++ b/tests/load_world_test.cpp
@@ -0,0 +1,85 @@
+#include "tests/load_world.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+// What users aim at on days with trouble: nine callers of ten get their whole answer in time.
+constexpr double aimed_in_time = 0.9;
+
+// The three kinds of job of the sites: field checks or bale counts, document builds or pickups, lookups.
+std::vector<load_class> usual_classes(double scale, std::int64_t millicores) {
+    return {{"short", 34.4 * scale, 8, 60ms, millicores, 0},
+            {"long", 6.25 * scale, 4, 900ms, millicores, 2},
+            {"common", 100 * scale, 2, 200ms, millicores, 1}};
+}
+
+// 3 entries and 11 backend servers, 140 jobs a second.
+load_world::options small_site(std::uint64_t seed) {
+    load_world::options options;
+    options.seed = seed;
+    options.classes = usual_classes(1, 3100);
+    return options;
+}
+
+// 9 entries and 58 backend servers, 840 jobs a second.
+load_world::options grown_site(std::uint64_t seed) {
+    load_world::options options;
+    options.seed = seed;
+    options.classes = usual_classes(6, 2800);
+    options.entries = 9;
+    options.agents = 58;
+    options.length = 4000ms;
+    options.burst_begin = 1000ms;
+    options.burst_end = 3000ms;
+    return options;
+}
+
+void expect_in_time(load_world& world) {
+    for (const auto& [queue, outcome] : world.run())
+        EXPECT_GE(outcome.in_time_part(), aimed_in_time)
+            << queue << ": " << outcome.jobs << " jobs, late " << outcome.late << ", too late "
+            << outcome.too_late << ", refused " << outcome.refused << ", unanswered " << outcome.unanswered;
+    EXPECT_TRUE(world.is_room_kept());
+}
+
+// Guards against placement that leaves callers waiting while there is room.
+TEST(load, usual_traffic_is_served_in_time) {
+    load_world small{small_site(1)};
+    expect_in_time(small);
+    load_world grown{grown_site(1)};
+    expect_in_time(grown);
+}
+
+// Guards against a rush in one third of the callers' time that makes entries compete for the same room.
+TEST(load, a_burst_below_capacity_is_served_in_time) {
+    load_world::options rush = small_site(2);
+    rush.burst = 1.5;
+    load_world small{rush};
+    expect_in_time(small);
+    rush = grown_site(2);
+    rush.burst = 1.5;
+    load_world grown{rush};
+    expect_in_time(grown);
+}
+
+// Guards against orders that get no answer and hold up the tasks behind them: one in twenty is lost and
+// carried out seconds later, and its loss must not cost the callers of other tasks their time.
+TEST(load, lost_orders_cost_few_callers_their_time) {
+    load_world::options options = small_site(3);
+    options.late_orders = 0.05;
+    load_world small{options};
+    expect_in_time(small);
+    options = grown_site(3);
+    options.late_orders = 0.05;
+    load_world grown{options};
+    expect_in_time(grown);
+}
+
+} // namespace
+} // namespace persimmonstile
