Refuse a job that found no room when it can no longer end in time

Cause: a job without a task at any agent waited for its caller's deadline and was then answered 504, although it had certainly not run. Ruled out: refusing jobs whose tasks were sent back by agents, because an order that got no answer may still be carried out. Test: three in entry_core_test; the first and the last failed before.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -121,6 +121,19 @@
     is_plan_needed_ = true;
 }
 
+// Given up while none of its tasks was given to an agent, so it is true that the job has not run. Its callers
+// hear so at once and may come back.
+void entry_core::refuse_hopeless(ledger_job& job) {
+    if (job.is_kept() || job.is_placed)
+        return;
+    const job_id id = job.id;
+    note("refused a job that can no longer end in time", id, {{"queue", job.record->queue}}, true);
+    ledger_.erase(id);
+    for (const waiting_caller& caller : ending_.take(id))
+        output_.replies.push_back({caller.token, caller_reply_kind::refused, job_state::unknown,
+                                   submit_refusal::overloaded, usual_retry});
+}
+
 void entry_core::drop_expired(time_point now) {
     std::vector<job_id> expired;
     for (const auto& [id, job] : ledger_.jobs()) {
@@ -128,7 +141,12 @@
             expired.push_back(id);
     }
     for (const job_id& id : expired) {
-        // Runs have been started, so only this is true.
+        ledger_job& job = *ledger_.find(id);
+        if (!job.is_placed) {
+            refuse_hopeless(job);
+            continue;
+        }
+        // Runs may have started, so only this is true.
         for (const waiting_caller& caller : ending_.take(id))
             reply(caller.token, caller_reply_kind::uncertain);
         drop_unkept(id);
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -128,6 +128,7 @@
     void finish_unkept(ledger_job& job, job_state state, time_point now);
     void drop_unkept(const job_id& id);
     void drop_expired(time_point now);
+    void refuse_hopeless(ledger_job& job);
     const incarnation& owner_of(const ledger_job& job) const;
     void write_progress(time_point now);
     void begin_due_occurrences(time_point now);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -172,7 +172,10 @@
     }
     if (waiting.empty())
         return;
-    send_starts(planner_.plan(std::move(waiting), agents_, times_, *config_, now), now);
+    const run_plan plan = planner_.plan(std::move(waiting), agents_, times_, *config_, now);
+    send_starts(plan.runs, now);
+    for (const job_id& id : plan.hopeless)
+        refuse_hopeless(*ledger_.find(id));
 }
 
 void entry_core::send_starts(const std::vector<planned_run>& plan, time_point now) {
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -61,9 +61,8 @@
            now >= agent.refused_until && !config.zones_out.contains(agent.profile.backend.zone);
 }
 
-std::vector<planned_run> run_planner::plan(std::vector<ledger_job*> waiting, agent_directory& agents,
-                                           const run_time_model& times, const deployment_config& config,
-                                           time_point now) {
+run_plan run_planner::plan(std::vector<ledger_job*> waiting, agent_directory& agents,
+                           const run_time_model& times, const deployment_config& config, time_point now) {
     struct candidate {
         ledger_job* job;
         worth value;
@@ -80,7 +79,7 @@
         return std::tie(left.value, left.due, left.job->id) < std::tie(right.value, right.due, right.job->id);
     });
 
-    std::vector<planned_run> result;
+    run_plan result;
     room_.clear();
     std::map<std::string, std::vector<agent_view*>> usable;
     for (const candidate& next : order) {
@@ -88,14 +87,17 @@
         const auto [found, is_new] = usable.try_emplace(service);
         if (is_new)
             found->second = usable_agents(agents, service, config, now);
+        const std::size_t planned_before = result.runs.size();
         job_ledger::for_each_placeable(
             *next.job, [&](const task_ref& task, const job_step& step, ledger_task& state) {
                 const double seconds = times.expected_seconds(next.job->record->queue, step.estimate());
-                if (agent_view* agent = choose(*next.job, task, state, seconds, found->second, result)) {
+                if (agent_view* agent = choose(*next.job, task, state, seconds, found->second, result.runs)) {
                     room_[agent->number] -= step.task_needs;
-                    result.push_back({task, agent->number});
+                    result.runs.push_back({task, agent->number});
                 }
             });
+        if (next.value == worth::none && result.runs.size() == planned_before)
+            result.hopeless.push_back(next.job->id);
     }
     return result;
 }
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -20,6 +20,13 @@
     agent_number agent = 0;
 };
 
+// What to do with the jobs that wait.
+struct run_plan {
+    std::vector<planned_run> runs;
+    // Jobs that found no room for any task and cannot end in time for their callers any more.
+    std::vector<job_id> hopeless;
+};
+
 // Decides which waiting tasks go where. Orders jobs by what their completion is still worth, and chooses for
 // each task the backend server that is expected to finish it first.
 class run_planner {
@@ -29,9 +36,8 @@
         , random_{seed} {}
 
     // Places what can be placed now. The needs of placed tasks are taken from the agents' room by the caller.
-    std::vector<planned_run> plan(std::vector<ledger_job*> waiting, agent_directory& agents,
-                                  const run_time_model& times, const deployment_config& config,
-                                  time_point now);
+    run_plan plan(std::vector<ledger_job*> waiting, agent_directory& agents, const run_time_model& times,
+                  const deployment_config& config, time_point now);
 
     // Whether the agent may get a run of the service now, apart from its room.
     static bool is_usable(const agent_view& agent, const std::string& service,
--- a/coordination/run_time_model.cpp
+++ b/coordination/run_time_model.cpp
@@ -54,7 +54,7 @@
     job_target target;
     target.chain = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{longest});
     target.in_time = job.accepted + objective;
-    target.useful = job.accepted + useful_multiple * objective;
+    target.useful = std::min<time_point>(job.accepted + useful_multiple * objective, job.answer_by);
     return target;
 }
 
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -232,6 +232,48 @@
     EXPECT_EQ(stops[0].runs.size(), 2U);
 }
 
+// Guards against callers that are held until their own deadline with a job that cannot be served: no backend
+// server is there, and the job could not end within three times its objective of 220 ms any more.
+TEST_F(entry_core_test, refuses_a_job_that_found_no_room_when_it_can_no_longer_end_in_time) {
+    prepare();
+    const caller_token token = submit(job("a", false));
+    pass(milliseconds{550});
+    EXPECT_FALSE(reply_to(token));
+    pass(milliseconds{20});
+    ASSERT_TRUE(reply_to(token));
+    EXPECT_EQ(reply_to(token)->kind, caller_reply_kind::refused);
+    EXPECT_EQ(reply_to(token)->reason, submit_refusal::overloaded);
+    EXPECT_GT(reply_to(token)->retry_after.count(), 0);
+    connect_agent();
+    pass(milliseconds{20});
+    EXPECT_TRUE(take_starts().empty());
+}
+
+// Guards against a refusal of a job that may have run: its only task was lost with its agent.
+TEST_F(entry_core_test, never_refuses_a_job_that_was_placed) {
+    prepare();
+    connect_agent();
+    const caller_token token = submit(job("a", false, 1));
+    ASSERT_EQ(take_starts().size(), 1U);
+    entry_.link_closed(agent_link);
+    for (int i = 0; i < 200; ++i)
+        pass(milliseconds{10});
+    ASSERT_TRUE(reply_to(token));
+    EXPECT_EQ(reply_to(token)->kind, caller_reply_kind::uncertain);
+}
+
+// Guards against a job that waits longer than its caller does: the caller's deadline comes before three times
+// the objective.
+TEST_F(entry_core_test, refuses_a_waiting_job_before_its_caller_gives_up) {
+    prepare();
+    job_submission request = job("a", false);
+    request.answer_by = now_ + milliseconds{300};
+    const caller_token token = submit(request);
+    pass(milliseconds{200});
+    ASSERT_TRUE(reply_to(token));
+    EXPECT_EQ(reply_to(token)->kind, caller_reply_kind::refused);
+}
+
 // Guards against a job that is worked on after its caller has stopped waiting, and against an untrue "not
 // run".
 TEST_F(entry_core_test, gives_a_job_up_when_its_caller_waits_no_longer) {
