Let an overloaded entry ask for less load

Cause: entries of the grown sites have between 0.09 and 0.5 cores and get equal shares of the connections. One that runs several times slower answered all its callers late, while others had room.

--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -18,6 +18,10 @@
 // Timers fire late rather than early; shorter waits would only cost wake-ups.
 constexpr milliseconds shortest_wait{1};
 
+// Often enough to see a standing queue within a fraction of overload_limits::judged_over, and a fiftieth of
+// the work that requests make.
+constexpr milliseconds load_probe_interval{25};
+
 member_entry make_member(const daemon_settings& settings) {
     member_entry self;
     self.session.name = settings.name;
@@ -62,8 +66,10 @@
               }},
              entry_key(settings.name)}
     , timer_{context}
+    , load_probe_{context}
     , own_address_{settings.peer_address} {
     links_.listen(settings.peer_address);
+    probe_load();
     run([] {});
 }
 
@@ -122,6 +128,31 @@
     });
 }
 
+void durable_entry::probe_load() {
+    const time_point due = clock_.now() + load_probe_interval;
+    load_probe_.expires_after(load_probe_interval);
+    load_probe_.async_wait([this, due](asio::error_code error) {
+        if (error || is_stopped_)
+            return;
+        load_probed(due);
+        probe_load();
+    });
+}
+
+void durable_entry::load_probed(time_point due) {
+    const time_point now = clock_.now();
+    const bool was_overloaded = overload_.is_overloaded();
+    overload_.timer_fired(due, now);
+    if (overload_.is_overloaded() == was_overloaded)
+        return;
+    const auto late = std::chrono::duration_cast<milliseconds>(now - due);
+    if (was_overloaded)
+        log_event(log_level::info, component, "load is carried again; new connections are welcome");
+    else
+        log_event(log_level::warn, component, "overloaded; asks for less load",
+                  {{"event_delay", late}, {"open_jobs", core_.open_jobs()}});
+}
+
 void durable_entry::call_store(const store_request& request) {
     store_.call(request.call, request.timeout,
                 [this, request, called = clock_.now()](const store_reply& reply) {
@@ -188,12 +219,14 @@
 
 std::string durable_entry::metrics_text() {
     metrics_.observe(core_);
+    metrics_.set_overloaded(overload_.is_overloaded());
     return metrics_.prometheus_text();
 }
 
 void durable_entry::stop() {
     is_stopped_ = true;
     timer_.cancel();
+    load_probe_.cancel();
     links_.stop();
 }
 
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry_core.h"
+#include "coordination/overload_watch.h"
 #include "daemon/entry_metrics.h"
 #include "daemon/link_hub.h"
 #include "daemon/store_router.h"
@@ -53,7 +54,9 @@
     std::uint64_t pending(const std::string& queue) const { return core_.pending(queue); }
 
     const deployment_config* config() const { return core_.config(); }
-    bool is_ready() const { return core_.is_ready(); }
+    // New connections are welcome: the entry is able to serve, and has not more to do than it carries.
+    bool is_ready() const { return core_.is_ready() && !is_overloaded(); }
+    bool is_overloaded() const { return overload_.is_overloaded(); }
     bool is_shutting_down() const { return core_.is_shutting_down(); }
     const entry_core& core() const { return core_; }
     // The metrics as they are now, in the Prometheus text format.
@@ -70,6 +73,8 @@
     void run(const std::function<void()>& event);
     void flush();
     void schedule();
+    void probe_load();
+    void load_probed(time_point due);
     void call_store(const store_request& request);
     void received(link_number link, const work_message& message);
     void update_peers();
@@ -82,6 +87,9 @@
     store_router store_;
     asio::steady_timer timer_;
     time_point timer_due_{};
+    // Fires at a fixed interval, whatever else there is to do.
+    asio::steady_timer load_probe_;
+    overload_watch overload_;
     std::string own_address_;
     caller_token last_token_ = 0;
     struct open_request {
--- a/daemon/entry_metrics.cpp
+++ b/daemon/entry_metrics.cpp
@@ -30,7 +30,7 @@
     : store_calls_{registry_} {
     for (const metric_family* family : std::initializer_list<const metric_family*>{
              &decisions_, &replies_, &refusals_, &response_, &queue_, &start_, &run_, &record_, &open_jobs_,
-             &agents_, &peers_, &session_, &configuration_version_, &configuration_revision_})
+             &agents_, &peers_, &session_, &overloaded_, &configuration_version_, &configuration_revision_})
         registry_.add(*family);
 }
 
--- a/daemon/entry_metrics.h
+++ b/daemon/entry_metrics.h
@@ -29,7 +29,8 @@
     // elapsed is the time since the request arrived.
     void replied(const caller_reply& reply, std::chrono::nanoseconds elapsed);
     store_call_metrics& store_calls() { return store_calls_; }
-    // Sets the gauges.
+    void set_overloaded(bool is_overloaded) { overloaded_.set(is_overloaded ? 1 : 0); }
+    // Sets the other gauges.
     void observe(const entry_core& core);
 
 private:
@@ -53,6 +54,7 @@
     gauge agents_{"persimmonstile_agents_connected", "Connected agents."};
     gauge peers_{"persimmonstile_entries_connected", "Connected other entries."};
     gauge session_{"persimmonstile_session_open", "1 while this entry owns jobs in the store."};
+    gauge overloaded_{"persimmonstile_overloaded", "1 while this entry asks for less load."};
     gauge configuration_version_{"persimmonstile_configuration_version",
                                  "Version of the operators' configuration in use."};
     gauge configuration_revision_{"persimmonstile_configuration_revision",
