Accept jobs on open connections while an entry leaves

A leaving entry refused every new job from 2.2 s after the signal, also on connections that callers still had open; its zone has no other entry, so the balancer goes on using it. Change: jobs that are not kept are accepted until the session is left. Each answer closes its connection, so they dry up. Test: entry_core_test.serves_on_after_the_signal_and_leaves_when_it_refuses now demands that such a job is started after refuse_at and refused after hand_over_at; the old form demanded the refusal that callers suffered from.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -56,7 +56,9 @@
             reply(request.token, caller_reply_kind::accepted, known->state);
         return;
     }
-    if (now >= refuse_at_) {
+    // A job that is not kept and comes on a connection that is still open ends before the process does.
+    const bool is_servable = !request.plan.is_kept && !keeper_.has_left() && now < hand_over_at_;
+    if (now >= refuse_at_ && !is_servable) {
         refuse(request, submit_refusal::shutting_down, milliseconds{0});
         return;
     }
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -68,8 +68,8 @@
 
     // New connections are welcome.
     bool is_ready() const;
-    // Refuses new jobs from refuse_at on, and hands the open ones to the other entries when all have ended,
-    // or at hand_over_at.
+    // Refuses new jobs that are kept from refuse_at on, and the others when the session is left: when all
+    // jobs have ended, or at hand_over_at, when the open ones are handed to the other entries.
     void begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point now);
     // Answers all callers that still wait, because the process ends now.
     void answer_all();
