--- a/cli/command_list.cpp
+++ b/cli/command_list.cpp
@@ -4,6 +4,7 @@
 #include "cli/check_command.h"
 #include "cli/explain_config_command.h"
 #include "cli/explain_job_command.h"
+#include "cli/explain_request_command.h"
 #include "cli/history_command.h"
 #include "cli/load_command.h"
 #include "cli/local_command.h"
@@ -27,6 +28,7 @@
     command{"history", "list accepted revisions with their reasons", &run_history},
     command{"zone", "take an availability zone out of service or bring it back", &run_zone},
     command{"explain job", "show from span files where a job's time went", &run_explain_job},
+    command{"explain request", "show from log files what was decided about a request", &run_explain_request},
     command{"explain", "show which default or exception sets a value", &run_explain_config},
     command{"status", "show revision, owner table, agents and load of entries", &run_status},
     command{"submit", "submit one job and print its outcome", &run_submit},
