Send the repeated requests of a test at the same time

Cause of the red test entry_api_test.only_idempotent_requests_are_repeated: its requests came one after the other, so placement could choose the same backend server for all of them, and the two that still had a fault were never asked. Change: batches of requests at the same time, four for each backend server, which cannot all go to one.

--- a/tests/entry_api_test.cpp
+++ b/tests/entry_api_test.cpp
@@ -6,6 +6,7 @@
 #include "transport/system_clock_source.h"
 
 #include <fstream>
+#include <future>
 #include <memory>
 #include <optional>
 #include <set>
@@ -345,12 +346,22 @@
         << confirm.body;
     EXPECT_EQ(deployment_.total_starts(), 1U);
     // Two backend servers are left with a fault. A request may be repeated twice, so each one is complete.
+    // Requests one after the other can all go to the same backend server, those at the same time cannot.
+    const std::string slow_check =
+        json{{"service", "dispatch"}, {"method", "check"}, {"body", {{"run_ms", 50}}}}.dump();
+    const std::size_t batch = 4 * deployment_.agent_count();
     std::size_t requests = 1;
     const bool repeated = wait_until(outcome_limit, [&] {
-        ++requests;
-        const call_answer check =
-            call("PUT", "/v1/requests/check-" + std::to_string(requests), request("check"));
-        EXPECT_EQ(check.status, 200) << check.body;
+        std::vector<std::future<call_answer>> checks;
+        for (std::size_t i = 0; i < batch; ++i) {
+            const std::string path = "/v1/requests/check-" + std::to_string(++requests);
+            checks.push_back(
+                std::async(std::launch::async, [&, path] { return call("PUT", path, slow_check); }));
+        }
+        for (std::future<call_answer>& check : checks) {
+            const call_answer answer = check.get();
+            EXPECT_EQ(answer.status, 200) << answer.body;
+        }
         return deployment_.total_starts() > requests;
     });
     EXPECT_TRUE(repeated) << deployment_.total_starts() << " starts of " << requests << " requests";
