--- a/cli/log_lines.cpp
+++ b/cli/log_lines.cpp
@@ -34,13 +34,13 @@
     line.process = text_member(object, "process");
     line.level = text_member(object, "level");
     line.message = text_member(object, "message");
+    line.follows_gap = object.contains("suppressed");
     const json fields = object.value("fields", json::object());
     for (const auto& [name, value] : fields.items()) {
         if (name == "job") {
             line.job = value_text(value);
             continue;
         }
-        line.follows_gap = line.follows_gap || name == "suppressed";
         line.fields += fmt::format("{}{}={}", line.fields.empty() ? "" : " ", name, value_text(value));
     }
     return std::optional<log_line>{std::move(line)};
--- a/tests/explain_request_command_test.cpp
+++ b/tests/explain_request_command_test.cpp
@@ -20,7 +20,7 @@
 {"time":"2026-12-04T03:15:00.300000Z","process":"e1","level":"warn","component":"entry","message":"job ended","fields":{"job":"00000000000000aa","state":"failed"}}
 )";
 constexpr const char* agent_log =
-    R"(agent-7 | {"time":"2026-12-04T03:15:00.100000Z","process":"a7","level":"info","component":"agent","message":"run ended","fields":{"job":"00000000000000aa","state":"failed","suppressed":12}}
+    R"(agent-7 | {"time":"2026-12-04T03:15:00.100000Z","process":"a7","level":"info","component":"agent","message":"run ended","fields":{"job":"00000000000000aa","state":"failed"},"suppressed":12}
 )";
 
 class explain_request : public testing::Test {
