--- a/state/queue_counts.h
+++ b/state/queue_counts.h
@@ -8,7 +8,8 @@
 
 namespace persimmonstile {
 
-// Entry to entry: its counts of all queues, and how new its configuration is. Queues that are not listed count 0.
+// Entry to entry: its counts of all queues, and how new its configuration is. Queues that are not listed
+// count 0.
 struct queue_counts {
     std::vector<queue_count> counts;
     // Revision of the store at the last change of the operators' records that the entry knows.
--- a/state/run_inventory.h
+++ b/state/run_inventory.h
@@ -9,8 +9,8 @@
 
 namespace persimmonstile {
 
-// Agent to entry: all runs that the agent knows of one owner. What the owner ordered with the start messages that
-// are included and is not listed has not started and never will.
+// Agent to entry: all runs that the agent knows of one owner. What the owner ordered with the start messages
+// that are included and is not listed has not started and never will.
 struct run_inventory {
     // Session of the owner, or of the deposed owner that the entry succeeded. Empty name for runs whose owner
     // the agent does not know.
--- a/state/run_report.h
+++ b/state/run_report.h
@@ -33,8 +33,8 @@
 
     static constexpr auto members() {
         return std::make_tuple(&run_report::run, &run_report::state, &run_report::reason,
-                               &run_report::end_number, &run_report::backend_life, &run_report::awaits_record, &run_report::run_us,
-                               &run_report::percent, &run_report::checkpoint);
+                               &run_report::end_number, &run_report::backend_life, &run_report::awaits_record,
+                               &run_report::run_us, &run_report::percent, &run_report::checkpoint);
     }
 };
 
