--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -172,7 +172,7 @@
     }
     if (waiting.empty())
         return;
-    const run_plan plan = planner_.plan(std::move(waiting), agents_, times_, *config_, now);
+    const run_plan plan = planner_.plan(waiting, agents_, times_, *config_, now);
     send_starts(plan.runs, now);
     for (const job_id& id : plan.hopeless)
         refuse_hopeless(*ledger_.find(id));
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -66,7 +66,7 @@
            now >= agent.refused_until && !config.zones_out.contains(agent.profile.backend.zone);
 }
 
-run_plan run_planner::plan(std::vector<ledger_job*> waiting, agent_directory& agents,
+run_plan run_planner::plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
                            const run_time_model& times, const deployment_config& config, time_point now) {
     struct candidate {
         ledger_job* job;
@@ -94,11 +94,12 @@
         const auto [found, is_new] = usable.try_emplace(service);
         if (is_new)
             found->second = usable_agents(agents, service, config, now);
+        const std::vector<agent_view*>& candidates = found->second;
         const std::size_t planned_before = result.runs.size();
         job_ledger::for_each_placeable(
             *next.job, [&](const task_ref& task, const job_step& step, ledger_task& state) {
                 const double seconds = times.expected_seconds(next.job->record->queue, step.estimate());
-                if (agent_view* agent = choose(*next.job, task, state, seconds, found->second, result.runs)) {
+                if (agent_view* agent = choose(*next.job, task, state, seconds, candidates, result.runs)) {
                     room_[agent->number] -= step.task_needs;
                     result.runs.push_back({task, agent->number});
                 }
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -36,8 +36,8 @@
         , random_{seed} {}
 
     // Places what can be placed now. The needs of placed tasks are taken from the agents' room by the caller.
-    run_plan plan(std::vector<ledger_job*> waiting, agent_directory& agents, const run_time_model& times,
-                  const deployment_config& config, time_point now);
+    run_plan plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
+                  const run_time_model& times, const deployment_config& config, time_point now);
 
     // Whether the agent may get a run of the service now, apart from its room.
     static bool is_usable(const agent_view& agent, const std::string& service,
