Add stand-ins that speak the platform's protocols, and a soak that runs the daemons as processes

Entries advertise another peer address if the settings name one. The count of open requests of an HTTP server outlives the server, because responses may be dropped after it; the soak crashed on that at its end.

--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -26,7 +26,8 @@
     member_entry self;
     self.session.name = settings.name;
     self.zone = settings.zone;
-    self.peer_address = settings.peer_address;
+    self.peer_address =
+        settings.advertised_peer_address.empty() ? settings.peer_address : settings.advertised_peer_address;
     return self;
 }
 
@@ -67,7 +68,7 @@
              entry_key(settings.name)}
     , timer_{context}
     , load_probe_{context}
-    , own_address_{settings.peer_address} {
+    , own_address_{make_member(settings).peer_address} {
     links_.listen(settings.peer_address);
     probe_load();
     run([] {});
--- /dev/null
+++ b/soak/promise_check.cpp
@@ -0,0 +1,206 @@
+#include "soak/promise_check.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace persimmonstile::soak {
+
+namespace {
+
+std::string name_of(const run_ref& run) {
+    return run.task.job + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) +
+           " run " + std::to_string(run.run);
+}
+
+} // namespace
+
+void promise_check::report(std::string_view promise, const std::string& what) {
+    violations_.push_back(std::string{promise} + ": " + what);
+}
+
+bool promise_check::is_calm(time_point now) const {
+    return open_faults_ == 0 && now - last_fault_ >= bounds_.contact;
+}
+
+void promise_check::fault_ended(time_point now) {
+    --open_faults_;
+    last_fault_ = now;
+}
+
+void promise_check::submitted(const job_id& job, const job_plan& plan, std::uint32_t attempts) {
+    job_record& record = jobs_[job];
+    record.plan = plan;
+    record.attempts = attempts;
+}
+
+void promise_check::accepted(const job_id& job) {
+    jobs_[job].was_accepted = true;
+}
+
+void promise_check::refused(const job_id& job) {
+    jobs_[job].was_refused = true;
+}
+
+void promise_check::unanswered(const job_id& job) {
+    jobs_[job].was_unanswered = true;
+}
+
+bool promise_check::is_all_done(const job_record& job) const {
+    std::size_t done = 0;
+    for (const auto& [task, record] : job.tasks)
+        done += record.done > 0 ? 1 : 0;
+    std::size_t all = 0;
+    for (const job_step& step : job.plan.steps)
+        all += step.task_count;
+    return done == all;
+}
+
+void promise_check::shown(const job_id& job, job_state state, time_point) {
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end()) {
+        report("own answer", job + " is shown, which nobody handed in");
+        return;
+    }
+    job_record& record = found->second;
+    if (state == job_state::unknown)
+        report("whole answer", job + " is shown in a state that cannot be read");
+    if (state == job_state::completed && !is_all_done(record))
+        report("whole answer", job + " is shown as completed while a task is not done");
+    const bool has_cause = std::any_of(record.tasks.begin(), record.tasks.end(), [&](const auto& task) {
+        return task.second.failed >= record.attempts;
+    });
+    if (state == job_state::failed && !has_cause)
+        report("true answer", job + " is shown as failed while no task has failed as often as allowed");
+    if (state == job_state::cancelled && !record.cancelled && !record.was_cancel_sent)
+        report("true answer", job + " is shown as cancelled, which nobody asked for");
+    if (is_final(record.shown) && state != record.shown)
+        report("true answer", job + " has ended as " + std::string{to_string(record.shown)} +
+                                  " and is shown as " + std::string{to_string(state)});
+    record.shown = state;
+}
+
+void promise_check::unknown(const job_id& job, time_point now) {
+    const job_record& record = jobs_[job];
+    const bool may_be_cancelled = record.cancelled || record.was_cancel_sent;
+    if (record.plan.is_kept && record.was_accepted && !may_be_cancelled && is_calm(now))
+        report("durability", job + " was accepted and is unknown");
+}
+
+void promise_check::cancelled(const job_id& job, time_point now) {
+    std::optional<time_point>& first = jobs_[job].cancelled;
+    if (!first)
+        first = now;
+}
+
+void promise_check::run_event(const backend_profile& backend, const order_backend::event& event,
+                              bool is_late) {
+    backend_record& record = backends_[backend.id];
+    if (record.life != backend.life) {
+        record.life = backend.life;
+        record.ends.clear();
+    }
+    if (event.what == order_backend::event::kind::started)
+        started(backend, event.run, event.at, is_late);
+    else
+        ended(backend, event);
+}
+
+void promise_check::started(const backend_profile& backend, const run_ref& run, time_point now,
+                            bool is_late) {
+    ++starts_;
+    const std::string name = name_of(run) + " at " + backend.id;
+    const auto found = jobs_.find(run.task.job);
+    if (found == jobs_.end() || run.task.step >= found->second.plan.steps.size()) {
+        report("unasked", name + " was handed in by nobody");
+        return;
+    }
+    job_record& job = found->second;
+    job.has_started = true;
+    task_record& task = job.tasks[{run.task.step, run.task.index}];
+    if (!task.active.empty())
+        report("one run", name + " begins while run " + std::to_string(task.active.begin()->second) + " at " +
+                              task.active.begin()->first + " goes on");
+    if (job.plan.is_kept && task.is_done_acknowledged)
+        report("one run", name + " begins after an end with success was acknowledged");
+    if (job.plan.is_kept && task.acknowledged_failures >= job.attempts)
+        report("attempts", name + " begins after all attempts have failed");
+    task.active.emplace(backend.id, run.run);
+    backend_record& room = backends_[backend.id];
+    const std::int64_t needs = job.plan.steps[run.task.step].task_needs.cpu_millicores;
+    room.millicores[run] = needs;
+    room.used += needs;
+    if (room.used > backend.capacity.cpu_millicores)
+        report("room", name + " brings " + std::to_string(room.used) + " of " +
+                           std::to_string(backend.capacity.cpu_millicores) + " millicores into use");
+    if (!is_late)
+        check_bounds(backend, job, name, now);
+}
+
+// Promises that are bound to a time, for what was free of faults all the while.
+void promise_check::check_bounds(const backend_profile& backend, const job_record& job,
+                                 const std::string& name, time_point now) {
+    const auto is_broken = [&](std::optional<time_point> since, milliseconds bound) {
+        return since && open_faults_ == 0 && *since >= last_fault_ + bounds_.contact && now - *since > bound;
+    };
+    const auto since = [](const std::map<std::string, time_point>& times, const std::string& key) {
+        const auto found = times.find(key);
+        return found == times.end() ? std::nullopt : std::optional{found->second};
+    };
+    if (is_broken(since(draining_, backend.id), bounds_.drain))
+        report("draining", name + " begins at a backend server that is draining");
+    if (is_broken(since(zones_out_, backend.zone), bounds_.zone_out))
+        report("zone out", name + " begins in a zone that is out of service");
+    if (is_broken(job.cancelled, bounds_.cancel))
+        report("cancelled", name + " begins after its job was cancelled");
+}
+
+void promise_check::ended(const backend_profile& backend, const order_backend::event& event) {
+    backend_record& room = backends_[backend.id];
+    const auto needs = room.millicores.find(event.run);
+    if (needs != room.millicores.end()) {
+        room.used -= needs->second;
+        room.millicores.erase(needs);
+    }
+    const auto found = jobs_.find(event.run.task.job);
+    if (found == jobs_.end())
+        return;
+    const std::pair key{event.run.task.step, event.run.task.index};
+    task_record& task = found->second.tasks[key];
+    task.active.erase({backend.id, event.run.run});
+    task.done += event.how == run_state::done ? 1 : 0;
+    task.failed += event.how == run_state::failed ? 1 : 0;
+    if (event.end_number != 0)
+        room.ends[event.end_number] = {event.run.task.job, key, event.how};
+}
+
+void promise_check::ends_acknowledged(const backend_profile& backend, std::uint64_t number) {
+    backend_record& record = backends_[backend.id];
+    if (record.life != backend.life)
+        return;
+    while (!record.ends.empty() && record.ends.begin()->first <= number) {
+        const open_end& end = record.ends.begin()->second;
+        if (end.how == run_state::done)
+            jobs_[end.job].tasks[end.task].is_done_acknowledged = true;
+        if (end.how == run_state::failed)
+            ++jobs_[end.job].tasks[end.task].acknowledged_failures;
+        record.ends.erase(record.ends.begin());
+    }
+}
+
+void promise_check::drain_acknowledged(const std::string& backend, time_point now) {
+    draining_.try_emplace(backend, now);
+}
+
+void promise_check::finish(time_point) {
+    for (const auto& [id, job] : jobs_) {
+        const bool only_refused = job.was_refused && !job.was_accepted && !job.was_unanswered;
+        if (only_refused && job.has_started && !is_final(job.shown))
+            report("true refusal", id + " was refused at every try and has started");
+        if (job.plan.is_kept && job.was_accepted && !job.cancelled && !job.was_cancel_sent &&
+            !is_final(job.shown))
+            report("durability",
+                   id + " was accepted and has not ended; it is " + std::string{to_string(job.shown)});
+    }
+}
+
+} // namespace persimmonstile::soak
--- a/standins/order_backend.cpp
+++ b/standins/order_backend.cpp
@@ -36,7 +36,7 @@
     run_number& highest = highest_[run.task];
     highest = std::max(highest, run.run);
     ends_.push_back({++last_end_, run, how, {}});
-    events_.push_back({event::kind::ended, run, how, now});
+    events_.push_back({event::kind::ended, run, how, now, last_end_});
 }
 
 void order_backend::advance(time_point now) {
--- a/standins/order_backend.h
+++ b/standins/order_backend.h
@@ -27,6 +27,8 @@
         run_ref run;
         run_state how = run_state::running;
         time_point at{};
+        // Number of the end in this life; 0 if it is not listed.
+        std::uint64_t end_number = 0;
     };
 
     explicit order_backend(backend_profile profile);
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -112,7 +112,7 @@
 
     std::uint16_t port() const { return port_; }
 
-    std::size_t open_requests() const { return open_requests_; }
+    std::size_t open_requests() const { return *open_requests_; }
 
     void stop_accepting() {
         if (shared_ && is_accepting_) {
@@ -161,10 +161,11 @@
     }
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t& request) {
-        ++open_requests_;
-        // A request is over when its response was written, or when nobody can respond to it any more.
-        const std::shared_ptr<void> open{nullptr, [this](void*) {
-                                             --open_requests_;
+        ++*open_requests_;
+        // A request is over when its response was written, or when nobody can respond to it any more, which
+        // may be after the end of the server.
+        const std::shared_ptr<void> open{nullptr, [count = open_requests_](void*) {
+                                             --*count;
                                          }};
         handler_(to_request(*request, kept_headers_), [request, open](const http_response& response) {
             send_response(request, response, [open](const auto&) {});
@@ -172,7 +173,7 @@
         return restinio::request_accepted();
     }
 
-    std::atomic<std::size_t> open_requests_{0};
+    std::shared_ptr<std::atomic<std::size_t>> open_requests_ = std::make_shared<std::atomic<std::size_t>>(0);
     http_handler handler_;
     std::vector<std::string> kept_headers_;
     std::uint16_t port_ = 0;
