Close inherited connections in the soak's processes, and let crashed backend servers need time to start

The logs show a frozen entry that woke, read requests whose callers had given up, and never saw the end of their connections. Ruled out: the HTTP server (30 closed connections after a freeze are seen at once, new ones, open ones and used ones) and the client (its connection ends with the timeout). The processes that the soak restarts inherited the callers' sockets, so these stayed open.

Change: child processes inherit only the standard streams; a crashed backend server answers after 600 ms at the earliest, and its connections are reset; a run takes the first free loopback network.

--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -29,6 +29,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection that this process closes must not stay open in a child.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error =
         posix_spawn(&id_, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <system_error>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -59,8 +60,7 @@
     , on_event_{std::move(on_event)}
     , network_{first_network + static_cast<int>(getpid() % network_count)} {
     std::filesystem::create_directories(options_.work);
-    store_ =
-        std::make_unique<kv_server>(context_, address(store_group, 1, store_port), clock_, options_.seed);
+    make_store();
     make_config();
     for (int i = 1; i <= options_.entries; ++i)
         make_entry(i);
@@ -68,6 +68,20 @@
         make_agent(i);
 }
 
+// Takes the first network that no other run uses.
+void deployment::make_store() {
+    for (int tries = 1; !store_; ++tries) {
+        try {
+            store_ = std::make_unique<kv_server>(context_, address(store_group, 1, store_port), clock_,
+                                                 options_.seed);
+        } catch (const std::system_error&) {
+            if (tries == network_count)
+                throw;
+            network_ = first_network + (network_ - first_network + 1) % network_count;
+        }
+    }
+}
+
 std::string deployment::address(int group, int number, int port) const {
     return "127." + std::to_string(network_) + '.' + std::to_string(group) + '.' + std::to_string(number) +
            ':' + std::to_string(port);
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -66,6 +66,7 @@
 
 private:
     std::string address(int group, int number, int port) const;
+    void make_store();
     void make_entry(int number);
     void make_agent(int number);
     void make_config();
--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -275,20 +275,18 @@
     std::string kind;
     switch (pick(6)) {
     case 0:
+    case 1: {
+        fault_proxy& way = *world_.agents()[index].to_backend;
         record("backend crash", name);
         begin(
-            "backend crash", shortest_fault, [&] { server.crash(); }, [] {});
-        return;
-    case 1:
-        record("backend dark", name);
-        begin(
-            "backend dark", length,
+            "backend crash", length,
             [&] {
-                server.set_dark(true);
-                server.crash();
+                server.crash(length);
+                way.reset_open();
             },
-            [&server] { server.set_dark(false); });
+            [] {});
         return;
+    }
     case 2:
         kind = "late orders";
         faults.late_orders = lost_orders;
--- a/standins/order_server.cpp
+++ b/standins/order_server.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/order_wire.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -17,6 +18,9 @@
 constexpr milliseconds announcement_interval{1500};
 constexpr milliseconds announcement_timeout{1000};
 
+// A crashed backend server needs this long to start again.
+constexpr milliseconds shortest_start{600};
+
 // An order without an answer may be carried out this much later.
 constexpr std::int64_t shortest_lateness_ms = 2000;
 constexpr std::int64_t longest_lateness_ms = 12000;
@@ -145,12 +149,16 @@
     });
 }
 
-void order_server::crash() {
+void order_server::crash(milliseconds away) {
     holds_.clear();
     backend_.crash(clock_.now());
-    is_drain_known_ = false;
     note_events(false);
-    send_announcement();
+    is_drain_known_ = false;
+    is_dark_ = true;
+    after(std::max(away, shortest_start), [this] {
+        is_dark_ = false;
+        send_announcement();
+    });
 }
 
 void order_server::set_draining(bool is_draining) {
--- a/standins/order_server.h
+++ b/standins/order_server.h
@@ -40,10 +40,9 @@
 
     void set_faults(const order_faults& faults);
     void set_slowness(double slowness) { backend_.set_slowness(slowness); }
-    // Everything that runs is gone; the next life begins at once.
-    void crash();
-    // Neither answers nor announces itself from now on, or does so again.
-    void set_dark(bool is_dark) { is_dark_ = is_dark; }
+    // Everything that runs is gone. The next life answers and announces itself after this time, or after that
+    // of a start if it is longer.
+    void crash(milliseconds away);
     void set_draining(bool is_draining);
     const order_backend& backend() const { return backend_; }
     // The agent has acknowledged that the backend server is draining.
