Send fewer messages between agents and entries

Cause: at the grown size (9 entries, 58 agents) the simulated load showed 33 messages for a job, of which 11.5 told only the room, 3.5 that a run has begun, and most others were pings.

Change: room is told every 60 ms, or every 10 ms for each entry; that a run has begun is told with the next message; start messages answer the clock readings that reports carry, so that pings go only to idle entries.

Newer news of room makes all entries compete for each place.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -126,15 +126,14 @@
     check_owners(now);
     check_progress(now);
     offer_orphans(now);
-    if (now - last_ping_ >= limits_.ping_interval) {
-        last_ping_ = now;
-        for (const auto& [link, state] : links_)
-            output_.messages.emplace_back(link, view_ping{now.time_since_epoch().count()});
+    for (const auto& [link, state] : links_) {
+        if (is_ping_due(state, now))
+            ping(link, now);
     }
 }
 
 time_point agent_core::next_wakeup(time_point now) const {
-    time_point next = last_ping_ + limits_.ping_interval;
+    time_point next = now + limits_.ping_interval;
     if (!backend_.id.empty() && hold_ == 0 && is_settled_ && needs_hold())
         next = std::min(next, next_hold_);
     if (is_raise_wanted_ && raise_ == 0)
@@ -142,8 +141,9 @@
     if (!queue_.empty())
         next = std::min(next, now + limits_.queue_patience / 4);
     for (const auto& [link, state] : links_) {
-        if (has_new_room(state))
-            next = std::min(next, state.told_at + limits_.room_interval);
+        if (has_news(state))
+            next = std::min(next, news_due(state));
+        next = std::min(next, std::max(state.echoed, state.asked) + limits_.ping_interval);
     }
     if (runs_.active_count() > 0)
         next = std::min(next, now + limits_.hold_wait);
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonstile {
@@ -52,6 +53,8 @@
 
     // Peer addresses of all entries that the connected ones name.
     std::set<std::string> entry_addresses() const;
+    // entry_addresses may differ from what they were at the last call.
+    bool take_address_change() { return std::exchange(has_new_addresses_, false); }
     const std::string& backend_id() const { return backend_.id; }
     std::uint64_t backend_life() const { return backend_.life; }
     std::uint64_t fencing_token() const { return token_; }
@@ -70,6 +73,11 @@
         agent_room told;
         time_point told_at{};
         std::vector<run_report> reports;
+        // One of the reports must not wait for the next message about the room.
+        bool has_urgent_report = false;
+        // The newest clock reading that the entry has echoed, and when one was sent last.
+        time_point echoed{};
+        time_point asked{};
     };
 
     struct owner_state {
@@ -136,12 +144,17 @@
     // Messages to entries.
     run_report report_of(const run_record& record, time_point now) const;
     void report(const run_record& record, time_point now);
+    void add_report(link_state& state, run_report report);
+    void hear(link_number link, const owner_pong& pong);
+    void ping(link_number link, time_point now);
+    bool is_ping_due(const link_state& state, time_point now) const;
     void send_inventory(link_number link, const incarnation& owner, time_point now);
     void send_profile_if_changed();
     agent_profile profile() const;
     agent_room room_for(const link_state& link) const;
     void flush_reports(time_point now);
-    bool has_new_room(const link_state& link) const;
+    bool has_news(const link_state& link) const;
+    time_point news_due(const link_state& link) const;
     void send_reports(link_number link, link_state& state, time_point now);
     bool is_zone_out() const;
 
@@ -194,12 +207,12 @@
     round_trip_estimate order_trip_;
 
     std::map<link_number, link_state> links_;
+    bool has_new_addresses_ = true;
     std::map<incarnation, owner_state> owners_;
     // Deposed owners with their successors.
     std::map<incarnation, incarnation> deposed_;
     std::set<std::string> zones_out_;
     std::uint64_t zones_version_ = 0;
-    time_point last_ping_{};
     time_point last_offer_{};
     agent_profile told_profile_;
 };
--- a/coordination/agent_directory.cpp
+++ b/coordination/agent_directory.cpp
@@ -31,6 +31,7 @@
     agent.is_introduced = false;
     agent.is_session_introduced = false;
     agent.starts_sent = 0;
+    agent.last_reading_ns = 0;
     for (auto& [run, start] : agent.runs)
         start = 0;
     agent.unseen.clear();
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -2,7 +2,9 @@
 
 #include "state/time.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace persimmonstile {
 
@@ -39,9 +41,16 @@
     std::size_t parallel_starts = 8;
     // A run that waits longer for room goes back to its owner, which may know a better place.
     milliseconds queue_patience{60};
-    // Least time between two messages to one entry that only tell the room.
-    milliseconds room_interval{20};
-    // Interval of the pings by which the agent learns that an entry lives.
+    // Least time between two messages to one entry that only tell the room, or that runs have begun. Newer
+    // news would make all entries compete for each place that becomes free; and an agent that told many
+    // entries more often would work for its messages more than for its runs, so the time grows with their
+    // number.
+    milliseconds shortest_room_interval{60};
+    milliseconds room_interval_per_entry{10};
+    milliseconds room_interval(std::size_t entries) const {
+        return std::max(shortest_room_interval, room_interval_per_entry * static_cast<std::int64_t>(entries));
+    }
+    // The agent asks an entry whether it lives if it has had no sign of that for so long.
     milliseconds ping_interval{300};
     // Runs without a known owner are offered to the entries this often, because an entry may have adopted
     // their jobs meanwhile.
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -13,13 +13,25 @@
 }
 
 void agent_core::link_opened(link_number link, time_point now) {
+    has_new_addresses_ = true;
     links_[link] = {};
     output_.messages.emplace_back(link, profile());
     // Its pong comes before the first order.
+    ping(link, now);
+}
+
+void agent_core::ping(link_number link, time_point now) {
+    links_[link].asked = now;
     output_.messages.emplace_back(link, view_ping{now.time_since_epoch().count()});
 }
 
+// Busy entries echo the clock readings of other messages, so pings are for the idle ones.
+bool agent_core::is_ping_due(const link_state& state, time_point now) const {
+    return now - std::max(state.echoed, state.asked) >= limits_.ping_interval;
+}
+
 void agent_core::link_closed(link_number link, time_point) {
+    has_new_addresses_ = true;
     links_.erase(link);
     for (auto& [owner, state] : owners_) {
         if (state.link == link)
@@ -35,6 +47,7 @@
 
 void agent_core::receive(link_number link, const entry_welcome& welcome, time_point now) {
     links_[link].entry_addresses = welcome.entry_addresses;
+    has_new_addresses_ = true;
     if (welcome.zones_version >= zones_version_) {
         zones_version_ = welcome.zones_version;
         const bool was_out = is_zone_out();
@@ -56,14 +69,21 @@
         owners_[welcome.session].link = link;
     }
     // The session counts as present from its first pong on.
-    output_.messages.emplace_back(link, view_ping{now.time_since_epoch().count()});
+    ping(link, now);
     if (are_owners_told_)
         introduce_runs(link, now);
 }
 
 void agent_core::receive(link_number link, const owner_pong& pong, time_point) {
-    const link_state& state = links_[link];
+    hear(link, pong);
+}
+
+void agent_core::hear(link_number link, const owner_pong& pong) {
+    if (pong.sent_ns == 0)
+        return;
+    link_state& state = links_[link];
     const time_point sent{std::chrono::nanoseconds{pong.sent_ns}};
+    state.echoed = std::max(state.echoed, sent);
     const auto hear = [&](const incarnation& owner) {
         if (owner.name.empty())
             return;
@@ -76,6 +96,7 @@
 
 void agent_core::receive(link_number link, const start_runs& message, time_point now) {
     ++links_[link].starts_seen;
+    hear(link, message.pong);
     std::optional<run_refusal> refusal = obstacle();
     if (deposed_.contains(message.owner))
         refusal = run_refusal::owner_deposed;
@@ -205,7 +226,18 @@
     const auto owner = owners_.find(record.owner);
     if (owner == owners_.end() || owner->second.link == 0)
         return;
-    links_[owner->second.link].reports.push_back(report_of(record, now));
+    add_report(links_[owner->second.link], report_of(record, now));
+}
+
+// That a run has begun is told with the next message, and not at all if it has ended by then.
+void agent_core::add_report(link_state& state, run_report report) {
+    if (is_final(report.state)) {
+        state.has_urgent_report = true;
+        std::erase_if(state.reports, [&](const run_report& earlier) {
+            return earlier.run == report.run && !is_final(earlier.state);
+        });
+    }
+    state.reports.push_back(std::move(report));
 }
 
 void agent_core::offer_orphans(time_point now) {
@@ -248,11 +280,9 @@
 }
 
 void agent_core::send_profile_if_changed() {
-    agent_profile current = profile();
-    const bool changed =
-        current.accepts_runs != told_profile_.accepts_runs || !(current.backend == told_profile_.backend);
-    if (!changed)
+    if (told_profile_.accepts_runs == !obstacle() && told_profile_.backend == backend_)
         return;
+    agent_profile current = profile();
     told_profile_ = current;
     for (const auto& [link, state] : links_) {
         current.room.starts_seen = state.starts_seen;
@@ -262,20 +292,25 @@
 
 void agent_core::flush_reports(time_point now) {
     for (auto& [link, state] : links_) {
-        const bool is_due = has_new_room(state) && now - state.told_at >= limits_.room_interval;
-        if (is_due || !state.reports.empty())
+        if (state.has_urgent_report || (has_news(state) && now >= news_due(state)))
             send_reports(link, state, now);
     }
 }
 
-bool agent_core::has_new_room(const link_state& link) const {
-    return !(room_for(link) == link.told);
+bool agent_core::has_news(const link_state& link) const {
+    return !link.reports.empty() || !(room_for(link) == link.told);
+}
+
+time_point agent_core::news_due(const link_state& link) const {
+    return link.told_at + limits_.room_interval(links_.size());
 }
 
 void agent_core::send_reports(link_number link, link_state& state, time_point now) {
     run_reports message;
     message.reports.swap(state.reports);
+    state.has_urgent_report = false;
     message.room = room_for(state);
+    message.sent_ns = now.time_since_epoch().count();
     state.told = message.room;
     state.told_at = now;
     output_.messages.emplace_back(link, std::move(message));
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -45,7 +45,8 @@
 }
 
 bool agent_core::is_zone_out() const {
-    return zones_out_.contains(backend_.zone.empty() ? zone_ : backend_.zone);
+    const std::string& zone = backend_.zone.empty() ? zone_ : backend_.zone;
+    return zones_out_.contains(zone);
 }
 
 // How much room a run takes that a restarted agent found is only known to its owner.
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -37,7 +37,7 @@
     refused.run = run;
     refused.state = run_state::refused;
     refused.reason = reason;
-    links_[link].reports.push_back(std::move(refused));
+    add_report(links_[link], std::move(refused));
 }
 
 void agent_core::refuse_queued(run_refusal reason, time_point now) {
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -40,9 +40,11 @@
     // Runs of this entry that were given to the agent and have not ended, with the start message on this
     // connection; 0 for those of an earlier connection.
     std::map<run_ref, std::uint64_t> runs;
-    // Last ping. The agent counts from its sending how long it may keep runs going without news of this
-    // entry.
+    // When the newest clock reading of the agent came. The agent counts from its sending how long it may keep
+    // runs going without news of this entry.
     time_point heard{};
+    // That reading, to be echoed; 0 before the first one on this connection.
+    std::int64_t last_reading_ns = 0;
     // Run time in units of the expected one.
     speed_estimate slowness{16};
     backend_health health;
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -62,8 +62,13 @@
     agent_view* agent = agents_.by_link(link);
     if (agent == nullptr)
         return;
+    note_reading(*agent, ping.sent_ns, now);
     output_.messages.emplace_back(link, owner_pong{ping.sent_ns, is_owner_certain(now)});
-    agent->heard = now;
+}
+
+void entry_core::note_reading(agent_view& agent, std::int64_t reading_ns, time_point now) {
+    agent.heard = now;
+    agent.last_reading_ns = std::max(agent.last_reading_ns, reading_ns);
 }
 
 // An entry that may have been deposed without knowing must not keep runs going.
@@ -82,6 +87,7 @@
     agent_view* agent = agents_.by_link(link);
     if (agent == nullptr)
         return;
+    note_reading(*agent, message.sent_ns, now);
     for (const run_report& report : message.reports)
         take_report(*agent, report, now);
     take_room(*agent, message.room);
@@ -102,6 +108,7 @@
     }
     if (message.owner != session() && message.owner != process_) {
         confirm(agent->name, message.owner);
+        is_upkeep_needed_ = true;
         return;
     }
     // What the agent does not know has not started there and never will.
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -188,7 +188,7 @@
             measure(entry_timing::queue, now - job.accepted);
         }
         task.run = std::max(task.run, job.run_base) + 1;
-        task.phase = task_phase::placed;
+        job_ledger::set_phase(job, task, task_phase::placed);
         task.agent = planned.agent;
         task.placed = now;
         start_runs& message = messages[{planned.agent, job.id}];
@@ -211,6 +211,7 @@
                 1, std::chrono::duration_cast<milliseconds>(job.answer_by - now).count());
         message.job = key.second;
         message.payload = job.record->plan.payload;
+        message.pong = {agent.last_reading_ns, is_owner_certain(now)};
         resources needs;
         for (const run_start& start : message.runs)
             needs += start.needs;
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -200,10 +200,67 @@
         raise = hold;
     answer(*raise, backend_verdict::accepted, {{run_of(0), {}, 10}});
     EXPECT_FALSE(take_order<start_order>());
+    pass(agent_limits{}.room_interval(1));
     ASSERT_TRUE(last_report(run_of(0)));
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
 
+// Guards against an agent that works more for its messages than for its runs: that a run has begun is worth
+// no message of its own, and its end makes that news needless. The end is told at once.
+TEST_F(agent_core_test, tells_that_a_run_has_begun_with_the_next_message) {
+    prepare();
+    send_starts(2, false);
+    const auto first = take_order<start_order>();
+    const auto second = take_order<start_order>();
+    answer(*first, backend_verdict::accepted);
+    messages_.clear();
+    answer(*second, backend_verdict::accepted);
+    EXPECT_FALSE(last_report(run_of(1)));
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(1), {}, 1}},
+           {{1, run_of(0), run_state::done, {}}});
+    ASSERT_TRUE(last_report(run_of(0)));
+    EXPECT_EQ(last_report(run_of(0))->state, run_state::done);
+    ASSERT_TRUE(last_report(run_of(1)));
+    EXPECT_EQ(last_report(run_of(1))->state, run_state::running);
+    std::size_t about_first = 0;
+    for (const work_message& message : messages_) {
+        if (const auto* reports = std::get_if<run_reports>(&message))
+            about_first += static_cast<std::size_t>(
+                std::count_if(reports->reports.begin(), reports->reports.end(),
+                              [&](const run_report& report) { return report.run == run_of(0); }));
+    }
+    EXPECT_LE(about_first, 1U);
+}
+
+// Guards against questions to entries that have shown by other messages that they live, and against leaving
+// others unasked.
+TEST_F(agent_core_test, asks_only_silent_entries_whether_they_live) {
+    prepare();
+    const milliseconds interval = agent_limits{}.ping_interval;
+    const auto count_pings = [&] {
+        return std::count_if(messages_.begin(), messages_.end(), [](const work_message& message) {
+            return std::holds_alternative<view_ping>(message);
+        });
+    };
+    messages_.clear();
+    for (int i = 0; i < 10; ++i) {
+        pass(interval / 2);
+        start_runs message;
+        message.owner = process_;
+        message.job = "job" + std::to_string(i);
+        message.is_kept = false;
+        message.pong = {now_.time_since_epoch().count(), true};
+        message.runs.push_back({0, 0, 0, 1, {task_millicores, 64, 0}, {}});
+        agent_.received(entry_link, message, now_);
+        collect();
+    }
+    EXPECT_EQ(count_pings(), 0);
+    messages_.clear();
+    for (int i = 0; i < 4; ++i)
+        pass(interval);
+    EXPECT_EQ(count_pings(), 4);
+}
+
 // Guards against a start in another life of the backend server that is taken for lost with the former one,
 // after which the task would run twice.
 TEST_F(agent_core_test, keeps_a_start_in_doubt_that_may_have_reached_a_new_life) {
@@ -217,6 +274,7 @@
         raise = hold;
     ASSERT_TRUE(raise);
     answer(*raise, backend_verdict::accepted, {{run_of(0), {}, 5}}, {}, 1001);
+    pass(agent_limits{}.room_interval(1));
     ASSERT_TRUE(last_report(run_of(0)));
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
--- a/tests/load_world_test.cpp
+++ b/tests/load_world_test.cpp
@@ -85,6 +85,22 @@
     expect_in_time(grown);
 }
 
+// Guards against news of room that make all entries compete for each place that becomes free, and against an
+// agent whose messages grow with the number of entries: told less often, callers fare no worse for a third
+// fewer messages.
+TEST(load, rare_news_of_room_serve_callers_no_worse) {
+    load_world::options options = grown_site(5);
+    options.burst = 2;
+    load_world rare{options};
+    rare.run();
+    options.agent_figures.shortest_room_interval = 20ms;
+    options.agent_figures.room_interval_per_entry = 0ms;
+    load_world frequent{options};
+    frequent.run();
+    EXPECT_GE(rare.total().in_time, frequent.total().in_time);
+    EXPECT_LE(3 * rare.messages(), 2 * frequent.messages());
+}
+
 // Three times the usual traffic, more than all backend servers carry.
 load_world::options overload(std::uint64_t seed) {
     load_world::options options = small_site(seed);
