Make HTTP requests on Asio and http_parser instead of libcurl

Cause: two thirds of an agent's processor time went into the client: 73 system calls for a task, among them epoll_ctl, timerfd_settime, poll and ioctl for each request.

Change: http_client keeps its interface and its promise to send a request once at most; connections read all the time, so that the end of an idle one is noticed, and one timer serves all requests.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -2,8 +2,14 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
+#include <array>
 #include <atomic>
+#include <functional>
 #include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -110,6 +116,140 @@
     EXPECT_FALSE(was_called);
 }
 
+// Guards against a client that ends while requests are in every state: waiting, connecting and sent.
+TEST_F(http_client_test, can_be_destroyed_at_any_moment) {
+    std::atomic<bool> is_over = false;
+    scripted_http_server server{[&](const scripted_request&) {
+        while (!is_over)
+            std::this_thread::yield();
+        return scripted_answer{};
+    }};
+    for (int events = 0; events < 6; ++events) {
+        http_client client{context_, 2};
+        for (int i = 0; i < 4; ++i)
+            client.send(post(server.url() + "/", "body"), [](const http_answer&) { FAIL(); });
+        context_.restart();
+        for (int i = 0; i < events; ++i)
+            context_.run_one_for(milliseconds{20});
+    }
+    is_over = true;
+    context_.restart();
+    context_.poll();
+}
+
+// Guards against a new connection for each request, which is dear at backend servers.
+TEST_F(http_client_test, keeps_its_connection) {
+    asio::ip::tcp::acceptor acceptor{context_, {asio::ip::address_v4::loopback(), 0}};
+    const std::string url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+    asio::ip::tcp::socket accepted{context_};
+    std::string received;
+    int answers = 0;
+    std::array<char, 4096> chunk{};
+    std::function<void()> serve = [&] {
+        accepted.async_read_some(asio::buffer(chunk), [&](asio::error_code error, std::size_t size) {
+            if (error)
+                return;
+            received.append(chunk.data(), size);
+            if (received.ends_with("body")) {
+                received.clear();
+                ++answers;
+                asio::write(accepted,
+                            asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}));
+            }
+            serve();
+        });
+    };
+    acceptor.async_accept(accepted, [&](asio::error_code) { serve(); });
+    http_client client{context_, 4};
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(request(client, post(url, "body")).body, "ok");
+    EXPECT_EQ(answers, 3);
+}
+
+// Guards against a request that is written to a connection which the server has closed meanwhile, and then
+// counts as sent.
+TEST_F(http_client_test, replaces_a_connection_that_the_server_has_closed) {
+    std::atomic<int> received = 0;
+    scripted_http_server server{[&](const scripted_request&) {
+        ++received;
+        return scripted_answer{200, "Connection: close\r\n", "x"};
+    }};
+    http_client client{context_, 1};
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(request(client, post(server.url() + "/", "body")).status, 200);
+    EXPECT_EQ(received, 3);
+}
+
+// Guards against requests that are lost, or that never end, when all connections are in use.
+TEST_F(http_client_test, lets_requests_wait_for_a_connection) {
+    std::atomic<bool> is_over = false;
+    scripted_http_server server{[&](const scripted_request&) {
+        while (!is_over)
+            std::this_thread::yield();
+        return scripted_answer{200, {}, "x"};
+    }};
+    http_client client{context_, 1};
+    std::vector<http_answer> answers;
+    http_client_request short_one = post(server.url() + "/", "body");
+    short_one.timeout = milliseconds{50};
+    client.send(post(server.url() + "/", "body"),
+                [&](http_answer answer) { answers.push_back(std::move(answer)); });
+    client.send(short_one, [&](http_answer answer) { answers.push_back(std::move(answer)); });
+    client.send(post(server.url() + "/", "body"),
+                [&](http_answer answer) { answers.push_back(std::move(answer)); });
+    context_.restart();
+    while (answers.size() < 3 && context_.run_one() > 0)
+        is_over = !answers.empty();
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_TRUE(answers[0].timed_out);
+    EXPECT_FALSE(answers[0].sent);
+    EXPECT_EQ(answers[1].status, 200);
+    EXPECT_EQ(answers[2].status, 200);
+}
+
+// Guards against an answer in pieces, or one that ends with its connection.
+TEST_F(http_client_test, reads_answers_of_any_form) {
+    const std::string large(100000, 'x');
+    const std::vector<std::pair<std::string, std::string>> forms{
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "a"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n2\r\ncd\r\n0\r\n\r\n", "bcd"},
+        {"HTTP/1.1 200 OK\r\n\r\nuntil the end", "until the end"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + large, large}};
+    for (const auto& [bytes, body] : forms) {
+        asio::ip::tcp::acceptor acceptor{context_, {asio::ip::address_v4::loopback(), 0}};
+        std::thread server{[&] {
+            asio::ip::tcp::socket accepted = acceptor.accept();
+            std::array<char, 4096> chunk{};
+            accepted.read_some(asio::buffer(chunk));
+            asio::write(accepted, asio::buffer(bytes));
+        }};
+        http_client client{context_, 1};
+        const http_answer answer = request(
+            client, post("http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/", "b"));
+        server.join();
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.body, body);
+    }
+}
+
+// Guards against half an answer that is taken for a whole one.
+TEST_F(http_client_test, reports_a_connection_that_ends_within_an_answer) {
+    asio::ip::tcp::acceptor acceptor{context_, {asio::ip::address_v4::loopback(), 0}};
+    std::thread server{[&] {
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        std::array<char, 4096> chunk{};
+        accepted.read_some(asio::buffer(chunk));
+        asio::write(accepted, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"}));
+    }};
+    http_client client{context_, 1};
+    const http_answer answer = request(
+        client, post("http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/", "b"));
+    server.join();
+    EXPECT_EQ(answer.status, 0);
+    EXPECT_TRUE(answer.sent);
+    EXPECT_TRUE(answer.body.empty());
+}
+
 // A server on the test's own context, with a client on the same one.
 class shared_http_server_test : public http_client_test {
 protected:
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -1,127 +1,72 @@
 #include "transport/http_client.h"
 
+#include "protocol/ip_endpoint.h"
+#include "transport/http_connection.h"
+
 #include <algorithm>
 #include <cstdint>
-#include <stdexcept>
-#include <unordered_map>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include <asio.hpp>
-#include <curl/curl.h>
 
 namespace persimmonstile {
 
 namespace {
 
-// Larger than the base64 form of the largest page of the store.
-constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t max_idle_transfers = 64;
+using clock = std::chrono::steady_clock;
+using asio::ip::tcp;
 
-// Errors at which certainly no byte of the request left this process.
-bool is_before_sending(CURLcode code) {
-    return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-           code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL;
-}
+// An idle connection that was used within this time is not asked whether it still stands: its end would have
+// been seen.
+constexpr milliseconds trusted_for{50};
 
-// The request must not be repeated on another connection by the library: the server may have carried it out.
-int refuse_rewind(void*, curl_off_t, int) {
-    return CURL_SEEKFUNC_FAIL;
-}
+struct http_target {
+    tcp::endpoint server;
+    // As in the URL, for the Host header.
+    std::string_view authority;
+    std::string_view path;
+};
 
-void initialize_library_once() {
-    // curl_global_init is not safe to run twice at the same time.
-    [[maybe_unused]] static const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
+// Empty if the URL is not "http://ip:port/path".
+std::optional<http_target> parse_url(std::string_view url) {
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme))
+        return std::nullopt;
+    url.remove_prefix(scheme.size());
+    const std::size_t slash = std::min(url.find('/'), url.size());
+    const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(url.substr(0, slash));
+    if (!endpoint)
+        return std::nullopt;
+    asio::error_code error;
+    const asio::ip::address address = asio::ip::make_address(endpoint->address, error);
+    if (error)
+        return std::nullopt;
+    const std::string_view path = slash < url.size() ? url.substr(slash) : std::string_view{"/"};
+    return http_target{{address, endpoint->port}, url.substr(0, slash), path};
 }
 
-// One request with its libcurl handle. Handles are reused.
-class transfer {
-public:
-    transfer()
-        : easy_{curl_easy_init()} {
-        if (easy_ == nullptr)
-            throw std::runtime_error{"libcurl could not create a handle"};
-    }
-    ~transfer() {
-        curl_easy_cleanup(easy_);
-        curl_slist_free_all(headers_);
-    }
-    transfer(const transfer&) = delete;
-    transfer& operator=(const transfer&) = delete;
-
-    void prepare(const http_client_request& request, http_client::handler on_answer) {
-        curl_easy_reset(easy_);
-        on_answer_ = std::move(on_answer);
-        body_ = request.body;
-        sent_ = 0;
-        answer_ = {};
-        curl_slist_free_all(headers_);
-        headers_ = nullptr;
-        for (const std::string& line : request.headers)
-            headers_ = curl_slist_append(headers_, line.c_str());
-        // Without this, libcurl waits up to 1 s for "100 Continue" before it sends a large body.
-        headers_ = curl_slist_append(headers_, "Expect:");
-        set(CURLOPT_HTTPHEADER, headers_);
-        set(CURLOPT_URL, request.url.c_str());
-        set(CURLOPT_NOSIGNAL, 1L);
-        set(CURLOPT_PROXY, "");
-        set(CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-        set(CURLOPT_TCP_NODELAY, 1L);
-        set(CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, request.timeout.count())));
-        set(CURLOPT_CONNECTTIMEOUT_MS,
-            static_cast<long>(std::min(request.timeout, request.connect_timeout).count()));
-        set(CURLOPT_WRITEFUNCTION, &transfer::write);
-        set(CURLOPT_WRITEDATA, this);
-        if (request.method != "GET") {
-            set(CURLOPT_POST, 1L);
-            set(CURLOPT_CUSTOMREQUEST, request.method.c_str());
-            set(CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body_.size()));
-            set(CURLOPT_READFUNCTION, &transfer::read);
-            set(CURLOPT_READDATA, this);
-            set(CURLOPT_SEEKFUNCTION, &refuse_rewind);
-        }
-    }
-
-    http_answer finish(CURLcode code) {
-        long request_bytes = 0;
-        curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &request_bytes);
-        answer_.sent = !is_before_sending(code) && request_bytes > 0;
-        answer_.timed_out = code == CURLE_OPERATION_TIMEDOUT;
-        if (code == CURLE_OK)
-            curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &answer_.status);
-        else
-            answer_.error = curl_easy_strerror(code);
-        return std::move(answer_);
-    }
-
-    CURL* handle() const { return easy_; }
-    http_client::handler take_handler() { return std::exchange(on_answer_, {}); }
-
-private:
-    template <typename T> void set(CURLoption option, T value) { curl_easy_setopt(easy_, option, value); }
-
-    static std::size_t read(char* buffer, std::size_t size, std::size_t count, void* self) {
-        auto* that = static_cast<transfer*>(self);
-        const std::size_t length = std::min(size * count, that->body_.size() - that->sent_);
-        std::copy_n(that->body_.data() + that->sent_, length, buffer);
-        that->sent_ += length;
-        return length;
-    }
-
-    static std::size_t write(const char* data, std::size_t size, std::size_t count, void* self) {
-        auto* that = static_cast<transfer*>(self);
-        if (that->answer_.body.size() + size * count > max_answer_bytes)
-            return 0;
-        that->answer_.body.append(data, size * count);
-        return size * count;
-    }
-
-    CURL* easy_;
-    curl_slist* headers_ = nullptr;
-    http_client::handler on_answer_;
-    std::string body_;
-    std::size_t sent_ = 0;
-    http_answer answer_;
-};
+std::string encode(const http_client_request& request, const http_target& target) {
+    constexpr std::string_view host_header = "Host:";
+    const bool names_host =
+        std::any_of(request.headers.begin(), request.headers.end(),
+                    [&](const std::string& line) { return line.starts_with(host_header); });
+    std::string text;
+    text.reserve(request.body.size() + 256);
+    text.append(request.method).append(1, ' ').append(target.path).append(" HTTP/1.1\r\n");
+    if (!names_host)
+        text.append("Host: ").append(target.authority).append("\r\n");
+    for (const std::string& line : request.headers)
+        text.append(line).append("\r\n");
+    if (request.method != "GET")
+        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    text.append("\r\n").append(request.body);
+    return text;
+}
 
 } // namespace
 
@@ -129,178 +74,239 @@
 public:
     implementation(asio::io_context& context, std::size_t connections)
         : context_{context}
-        , timer_{context} {
-        initialize_library_once();
-        multi_ = curl_multi_init();
-        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &implementation::socket_changed);
-        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &implementation::timer_changed);
-        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS, static_cast<long>(connections));
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, static_cast<long>(connections));
-    }
-    implementation(const implementation&) = delete;
-    implementation& operator=(const implementation&) = delete;
-
-    ~implementation() {
-        for (const auto& [handle, owner] : active_)
-            curl_multi_remove_handle(multi_, handle);
-        curl_multi_cleanup(multi_);
-        for (auto& [socket, watched] : sockets_)
-            watched->descriptor.release();
-    }
+        , most_connections_{connections}
+        , timer_{context.get_executor()} {}
 
     void close() {
         is_closed_ = true;
         timer_.cancel();
-        for (auto& [socket, watched] : sockets_)
-            watched->descriptor.cancel();
+        for (auto& [id, open] : exchanges_) {
+            if (open.connection)
+                open.connection->close();
+        }
+        exchanges_.clear();
+        for (auto& [server, connections] : idle_) {
+            for (const idle_connection& kept : connections)
+                kept.connection->close();
+        }
+        idle_.clear();
     }
 
     void send(const http_client_request& request, handler on_answer) {
-        std::unique_ptr<transfer> next;
-        if (idle_.empty()) {
-            next = std::make_unique<transfer>();
-        } else {
-            next = std::move(idle_.back());
-            idle_.pop_back();
+        const std::uint64_t id = ++last_id_;
+        const std::optional<http_target> target = parse_url(request.url);
+        if (!target) {
+            http_answer answer;
+            answer.error = "not a URL with an IP number and a port: " + request.url;
+            asio::post(context_, [self = shared_from_this(), on_answer = std::move(on_answer), answer] {
+                if (!self->is_closed_)
+                    on_answer(answer);
+            });
+            return;
         }
-        next->prepare(request, std::move(on_answer));
-        CURL* handle = next->handle();
-        active_.emplace(handle, std::move(next));
-        curl_multi_add_handle(multi_, handle);
+        exchange& opened = exchanges_[id];
+        opened.server = target->server;
+        opened.text = encode(request, *target);
+        opened.on_answer = std::move(on_answer);
+        opened.deadline = clock::now() + request.timeout;
+        opened.connect_timeout = request.connect_timeout;
+        waiting_.push_back(id);
+        start_waiting();
+        watch_deadline(opened.due());
     }
 
-    std::size_t open_requests() const { return active_.size(); }
+    std::size_t open_requests() const { return exchanges_.size(); }
 
 private:
-    // A connection of libcurl that Asio waits for. libcurl opens and closes it.
-    struct watched_socket {
-        watched_socket(asio::io_context& context, curl_socket_t socket)
-            : descriptor{context, socket} {}
-        asio::posix::stream_descriptor descriptor;
-        int wanted = 0;
-        bool waits_to_read = false;
-        bool waits_to_write = false;
-    };
+    using connection_pointer = std::shared_ptr<http_connection>;
 
-    static int socket_changed(CURL*, curl_socket_t socket, int what, void* self, void*) {
-        static_cast<implementation*>(self)->watch(socket, what);
-        return 0;
-    }
+    struct idle_connection {
+        connection_pointer connection;
+        clock::time_point since;
+    };
 
-    static int timer_changed(CURLM*, long timeout_ms, void* self) {
-        static_cast<implementation*>(self)->set_timer(timeout_ms);
-        return 0;
-    }
+    // A request without an answer.
+    struct exchange {
+        tcp::endpoint server;
+        std::string text;
+        handler on_answer;
+        clock::time_point deadline;
+        milliseconds connect_timeout{0};
+        // While the connection is being made.
+        clock::time_point connect_deadline = clock::time_point::max();
+        connection_pointer connection;
+        bool is_sent = false;
+
+        clock::time_point due() const { return is_sent ? deadline : std::min(deadline, connect_deadline); }
+    };
 
-    void watch(curl_socket_t socket, int what) {
-        const auto found = sockets_.find(socket);
-        if (what == CURL_POLL_REMOVE) {
-            if (found == sockets_.end())
+    // Gives connections to the requests that wait, in their order, as far as the bound allows.
+    void start_waiting() {
+        while (!waiting_.empty()) {
+            const auto found = exchanges_.find(waiting_.front());
+            if (found == exchanges_.end()) {
+                waiting_.pop_front();
+                continue;
+            }
+            connection_pointer connection = take_idle(found->second.server);
+            if (!connection && connection_count_ >= most_connections_ && !drop_idle())
                 return;
-            found->second->descriptor.release();
-            sockets_.erase(found);
-            return;
-        }
-        std::shared_ptr<watched_socket> watched;
-        if (found == sockets_.end()) {
-            watched = std::make_shared<watched_socket>(context_, socket);
-            sockets_.emplace(socket, watched);
-        } else {
-            watched = found->second;
+            waiting_.pop_front();
+            if (connection)
+                use(found->first, connection);
+            else
+                open(found->first, found->second);
         }
-        watched->wanted = what;
-        wait(socket, watched);
     }
 
-    void wait(curl_socket_t socket, const std::shared_ptr<watched_socket>& watched) {
-        if ((watched->wanted & CURL_POLL_IN) != 0 && !watched->waits_to_read) {
-            watched->waits_to_read = true;
-            watched->descriptor.async_wait(
-                asio::posix::stream_descriptor::wait_read,
-                [self = shared_from_this(), socket, watched](asio::error_code error) {
-                    watched->waits_to_read = false;
-                    self->ready(socket, watched, error, CURL_CSELECT_IN);
-                });
+    connection_pointer take_idle(const tcp::endpoint& server) {
+        const auto found = idle_.find(server);
+        while (found != idle_.end() && !found->second.empty()) {
+            const idle_connection last = found->second.back();
+            found->second.pop_back();
+            if (clock::now() - last.since < trusted_for || last.connection->is_quiet())
+                return last.connection;
+            last.connection->close();
+            --connection_count_;
         }
-        if ((watched->wanted & CURL_POLL_OUT) != 0 && !watched->waits_to_write) {
-            watched->waits_to_write = true;
-            watched->descriptor.async_wait(
-                asio::posix::stream_descriptor::wait_write,
-                [self = shared_from_this(), socket, watched](asio::error_code error) {
-                    watched->waits_to_write = false;
-                    self->ready(socket, watched, error, CURL_CSELECT_OUT);
-                });
+        return nullptr;
+    }
+
+    // Makes room for a connection to another server.
+    bool drop_idle() {
+        for (auto& [server, connections] : idle_) {
+            if (connections.empty())
+                continue;
+            connections.front().connection->close();
+            connections.erase(connections.begin());
+            --connection_count_;
+            return true;
         }
+        return false;
     }
 
-    void ready(curl_socket_t socket, const std::shared_ptr<watched_socket>& watched, asio::error_code error,
-               int events) {
+    void open(std::uint64_t id, exchange& opened) {
+        const tcp::endpoint server = opened.server;
+        auto connection = std::make_shared<http_connection>(context_, [self = weak_from_this(), server] {
+            if (const auto client = self.lock())
+                client->idle_closed(server);
+        });
+        ++connection_count_;
+        opened.connection = connection;
+        opened.connect_deadline = clock::now() + opened.connect_timeout;
+        watch_deadline(opened.connect_deadline);
+        connection->connect(server, [self = shared_from_this(), id, connection](asio::error_code error) {
+            self->connected(id, connection, error);
+        });
+    }
+
+    void connected(std::uint64_t id, const connection_pointer& connection, asio::error_code error) {
         if (is_closed_)
             return;
-        const auto found = sockets_.find(socket);
-        // The connection was closed, and its number may belong to another one by now.
-        if (found == sockets_.end() || found->second != watched)
+        if (error) {
+            --connection_count_;
+            http_answer answer;
+            answer.error = error.message();
+            finish(id, std::move(answer));
             return;
-        if (error == asio::error::operation_aborted)
+        }
+        use(id, connection);
+    }
+
+    void use(std::uint64_t id, const connection_pointer& connection) {
+        exchange& opened = exchanges_[id];
+        watch_deadline(opened.deadline);
+        opened.connection = connection;
+        opened.is_sent = true;
+        connection->send(std::move(opened.text),
+                         [self = shared_from_this(), id, connection](http_answer answer) {
+                             self->answered(id, connection, std::move(answer));
+                         });
+    }
+
+    void answered(std::uint64_t id, const connection_pointer& connection, http_answer answer) {
+        if (is_closed_)
             return;
-        int running = 0;
-        curl_multi_socket_action(multi_, socket, error ? CURL_CSELECT_ERR : events, &running);
-        finish_ended();
-        const auto still = sockets_.find(socket);
-        if (still != sockets_.end() && still->second == watched)
-            wait(socket, watched);
+        if (connection->is_reusable())
+            idle_[exchanges_[id].server].push_back({connection, clock::now()});
+        else
+            --connection_count_;
+        finish(id, std::move(answer));
+    }
+
+    void finish(std::uint64_t id, http_answer answer) {
+        const auto found = exchanges_.find(id);
+        const handler on_answer = std::move(found->second.on_answer);
+        exchanges_.erase(found);
+        start_waiting();
+        on_answer(std::move(answer));
+    }
+
+    void idle_closed(const tcp::endpoint& server) {
+        std::vector<idle_connection>& connections = idle_[server];
+        connection_count_ -= std::erase_if(
+            connections, [](const idle_connection& kept) { return !kept.connection->is_reusable(); });
     }
 
-    void set_timer(long timeout_ms) {
-        if (timeout_ms < 0) {
-            timer_.cancel();
+    // One timer serves all requests. It is not set back when a request is answered, because another one
+    // follows usually.
+    void watch_deadline(clock::time_point deadline) {
+        if (deadline >= armed_for_)
             return;
-        }
-        timer_.expires_after(std::chrono::milliseconds{timeout_ms});
+        armed_for_ = deadline;
+        timer_.expires_at(deadline);
         timer_.async_wait([self = shared_from_this()](asio::error_code error) {
             if (error || self->is_closed_)
                 return;
+            self->armed_for_ = clock::time_point::max();
             // A busy process may find the answer and the end of its time together; the answer goes first.
-            asio::post(self->context_, [self] { self->check_times(); });
+            asio::post(self->context_, [self] { self->check_deadlines(); });
         });
     }
 
-    void check_times() {
+    void check_deadlines() {
         if (is_closed_)
             return;
-        int running = 0;
-        curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
-        finish_ended();
+        const clock::time_point now = clock::now();
+        std::vector<std::uint64_t> late;
+        clock::time_point next = clock::time_point::max();
+        for (const auto& [id, open] : exchanges_) {
+            if (open.due() <= now)
+                late.push_back(id);
+            else
+                next = std::min(next, open.due());
+        }
+        for (const std::uint64_t id : late)
+            give_up(id);
+        watch_deadline(next);
     }
 
-    void finish_ended() {
-        int left = 0;
-        while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-            if (message->msg != CURLMSG_DONE)
-                continue;
-            CURL* handle = message->easy_handle;
-            const CURLcode code = message->data.result;
-            curl_multi_remove_handle(multi_, handle);
-            const auto found = active_.find(handle);
-            std::unique_ptr<transfer> ended = std::move(found->second);
-            active_.erase(found);
-            http_answer answer = ended->finish(code);
-            const handler on_answer = ended->take_handler();
-            if (idle_.size() < max_idle_transfers)
-                idle_.push_back(std::move(ended));
-            on_answer(std::move(answer));
+    void give_up(std::uint64_t id) {
+        const auto found = exchanges_.find(id);
+        if (found == exchanges_.end())
+            return;
+        http_answer answer;
+        answer.error = "no answer in time";
+        answer.timed_out = true;
+        answer.sent = found->second.is_sent;
+        if (found->second.connection) {
+            found->second.connection->close();
+            --connection_count_;
         }
+        finish(id, std::move(answer));
     }
 
     asio::io_context& context_;
-    asio::steady_timer timer_;
-    CURLM* multi_ = nullptr;
+    std::size_t most_connections_;
+    std::size_t connection_count_ = 0;
+    asio::basic_waitable_timer<clock, asio::wait_traits<clock>, asio::io_context::executor_type> timer_;
+    clock::time_point armed_for_ = clock::time_point::max();
     bool is_closed_ = false;
-    std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
-    std::vector<std::unique_ptr<transfer>> idle_;
-    std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets_;
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, exchange> exchanges_;
+    // Requests without a connection, the first one first.
+    std::deque<std::uint64_t> waiting_;
+    std::map<tcp::endpoint, std::vector<idle_connection>> idle_;
 };
 
 http_client::http_client(asio::io_context& context, std::size_t connections)
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -18,6 +18,7 @@
 // A request of an HTTP client.
 struct http_client_request {
     std::string method = "GET";
+    // "http://ip:port/path"
     std::string url;
     // Lines of the form "Name: value".
     std::vector<std::string> headers;
@@ -27,8 +28,9 @@
     milliseconds connect_timeout{300};
 };
 
-// Makes HTTP requests on libcurl within an Asio context, on the thread that runs it. Connections are kept and
-// reused; one on which an answer is missing is closed.
+// Makes HTTP/1.1 requests within an Asio context, on the thread that runs it. Connections are kept and
+// reused; one on which an answer is missing is closed. A request is sent once at most: what becomes of one
+// without an answer is for the caller to decide.
 class http_client {
 public:
     using handler = std::function<void(http_answer)>;
@@ -39,7 +41,7 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    // on_answer is called once, later, unless the client is destroyed before.
+    // on_answer is called once, never within this call, unless the client is destroyed before.
     void send(const http_client_request& request, handler on_answer);
 
     std::size_t open_requests() const;
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -36,7 +36,13 @@
     http_close_handler on_close_;
 };
 
-struct server_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+// A server with threads of its own takes locks, one on the caller's thread does not.
+struct threaded_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+    static constexpr bool use_connection_count_limiter = true;
+    using connection_state_listener_t = close_listener;
+};
+struct shared_traits
+    : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
     static constexpr bool use_connection_count_limiter = true;
     using connection_state_listener_t = close_listener;
 };
@@ -89,7 +95,7 @@
         , kept_headers_{limits.kept_headers} {
         std::promise<std::uint16_t> bound;
         std::future<std::uint16_t> port = bound.get_future();
-        auto settings = make_settings(address, limits, {});
+        auto settings = make_settings<threaded_traits>(address, limits, {});
         settings.acceptor_post_bind_hook([&bound](restinio::asio_ns::ip::tcp::acceptor& acceptor) {
             bound.set_value(acceptor.local_endpoint().port());
         });
@@ -101,11 +107,11 @@
                    http_handler handler, http_close_handler on_close)
         : handler_{std::move(handler)}
         , kept_headers_{limits.kept_headers} {
-        auto settings = make_settings(address, limits, std::move(on_close));
+        auto settings = make_settings<shared_traits>(address, limits, std::move(on_close));
         settings.acceptor_post_bind_hook([this](restinio::asio_ns::ip::tcp::acceptor& acceptor) {
             port_ = acceptor.local_endpoint().port();
         });
-        shared_ = std::make_unique<restinio::http_server_t<server_traits>>(
+        shared_ = std::make_unique<restinio::http_server_t<shared_traits>>(
             restinio::external_io_context(context), std::move(settings));
         shared_->open_sync();
     }
@@ -132,9 +138,10 @@
     }
 
 private:
-    restinio::server_settings_t<server_traits>
-    make_settings(const ip_endpoint& address, const http_limits& limits, http_close_handler on_close) {
-        auto settings = restinio::server_settings_t<server_traits>{};
+    template <typename Traits>
+    restinio::server_settings_t<Traits> make_settings(const ip_endpoint& address, const http_limits& limits,
+                                                      http_close_handler on_close) {
+        auto settings = restinio::server_settings_t<Traits>{};
         listener_ = std::make_shared<close_listener>(std::move(on_close));
         settings.connection_state_listener(listener_);
         settings.address(address.address)
@@ -179,8 +186,8 @@
     std::uint16_t port_ = 0;
     bool is_accepting_ = true;
     std::shared_ptr<close_listener> listener_;
-    restinio::running_server_handle_t<server_traits> threaded_;
-    std::unique_ptr<restinio::http_server_t<server_traits>> shared_;
+    restinio::running_server_handle_t<threaded_traits> threaded_;
+    std::unique_ptr<restinio::http_server_t<shared_traits>> shared_;
 };
 
 namespace {
