--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -52,11 +52,13 @@
 }
 
 void entry_core::link_opened(link_number link, bool is_dialed, time_point) {
+    is_upkeep_needed_ = true;
     if (is_dialed)
         output_.messages.emplace_back(link, peer_introduction{name_, session()});
 }
 
 void entry_core::link_closed(link_number link) {
+    is_upkeep_needed_ = true;
     peers_.erase(link);
     if (agent_view* agent = agents_.by_link(link)) {
         note("lost the connection to an agent", {},
@@ -83,6 +85,7 @@
 }
 
 void entry_core::receive(link_number link, const peer_introduction& message, time_point) {
+    is_upkeep_needed_ = true;
     const bool is_new = !peers_.contains(link);
     peer_state& peer = peers_[link];
     peer.name = message.name;
@@ -131,8 +134,10 @@
     };
     for (commit_queue::write& write : commits_.take_writes(now))
         send(store_user::commits, write.id, std::move(write.call), write.timeout);
-    for (session_keeper::call& call : keeper_.take_calls(now))
-        send(store_user::keeper, call.id, std::move(call.what), call.timeout);
+    if (is_upkeep_needed_) {
+        for (session_keeper::call& call : keeper_.take_calls(now))
+            send(store_user::keeper, call.id, std::move(call.what), call.timeout);
+    }
     for (prefix_view::call& call : operator_records_.take_calls(now))
         send(store_user::operators, call.id, std::move(call.what), call.timeout);
     for (const auto& [question, job] : orphans_.take_questions(is_first_entry(), now))
@@ -143,6 +148,7 @@
 
 void entry_core::store_replied(std::uint64_t id, const store_reply& answer, time_point now, wall_time wall) {
     wall_ = wall;
+    is_upkeep_needed_ = true;
     const auto found = store_ids_.find(id);
     if (found == store_ids_.end())
         return;
@@ -179,6 +185,7 @@
 
 void entry_core::tick(time_point now, wall_time wall) {
     wall_ = wall;
+    is_upkeep_needed_ = true;
     give_up_unreachable(now);
     write_progress(now);
     begin_due_occurrences(now);
@@ -217,25 +224,8 @@
 }
 
 entry_output entry_core::take_output(time_point now) {
-    // The keeper's step may begin a session, whose consequences belong to this output.
-    std::set<incarnation> connected;
-    for (const auto& [link, peer] : peers_)
-        connected.insert(peer.session);
-    keeper_.set_connected(std::move(connected));
-    if (known_session_ != session()) {
-        if (!known_session_.name.empty())
-            session_lost(now);
-        known_session_ = session();
-        if (!known_session_.name.empty())
-            commits_.set_session(session(), keeper_.entry_revision());
-        for (const auto& [link, peer] : peers_)
-            output_.messages.emplace_back(link, peer_introduction{name_, session()});
-        welcome_all();
-    }
-    if (entry_addresses() != told_addresses_)
-        welcome_all();
-    take_adopted(now);
-    settle_successions(now);
+    if (is_upkeep_needed_)
+        keep_sessions(now);
     for (const job_locator::own_job& asked : locator_.take_own())
         answer_own(asked, now);
     for (auto& [owner, question] : locator_.take_questions()) {
@@ -255,8 +245,8 @@
     }
     acknowledgements_.clear();
     collect_store_calls(now);
-    for (decision& made : keeper_.take_decisions())
-        output_.decisions.push_back(std::move(made));
+    // The keeper's step may have begun a session.
+    is_upkeep_needed_ = known_session_ != session();
     return std::exchange(output_, {});
 }
 
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -107,6 +107,7 @@
     void welcome(const agent_view& agent);
     void welcome_all();
     std::vector<std::string> entry_addresses() const;
+    static void note_reading(agent_view& agent, std::int64_t reading_ns, time_point now);
     void take_room(agent_view& agent, const agent_room& room);
     void take_report(agent_view& agent, const run_report& report, time_point now);
     static void note_begin(ledger_job& job);
@@ -151,6 +152,7 @@
     void send_starts(const std::vector<planned_run>& plan, time_point now);
 
     // Sessions.
+    void keep_sessions(time_point now);
     void take_adopted(time_point now);
     void settle_successions(time_point now);
     void confirm(const std::string& agent, const incarnation& former);
@@ -198,9 +200,12 @@
     time_point last_count_{};
     std::map<std::string, std::uint64_t> told_counts_;
     std::uint64_t told_config_revision_ = 0;
-    // Addresses of the entries as the agents were told.
+    // Addresses of the entries as the agents were told, and the version of the members that they are from.
     std::vector<std::string> told_addresses_;
+    std::uint64_t told_members_version_ = 0;
     bool is_plan_needed_ = false;
+    // Time has passed, the store has answered, or the members have changed, so sessions have to be looked at.
+    bool is_upkeep_needed_ = true;
     bool is_shutting_down_ = false;
     time_point refuse_at_ = time_point::max();
     time_point hand_over_at_{};
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -13,6 +13,33 @@
 
 } // namespace
 
+// Follows the keeper: a session has begun or was lost, other entries came or went, jobs were adopted.
+void entry_core::keep_sessions(time_point now) {
+    std::set<incarnation> connected;
+    for (const auto& [link, peer] : peers_)
+        connected.insert(peer.session);
+    keeper_.set_connected(std::move(connected));
+    if (known_session_ != session()) {
+        if (!known_session_.name.empty())
+            session_lost(now);
+        known_session_ = session();
+        if (!known_session_.name.empty())
+            commits_.set_session(session(), keeper_.entry_revision());
+        for (const auto& [link, peer] : peers_)
+            output_.messages.emplace_back(link, peer_introduction{name_, session()});
+        welcome_all();
+    }
+    if (members().version() != told_members_version_) {
+        told_members_version_ = members().version();
+        if (entry_addresses() != told_addresses_)
+            welcome_all();
+    }
+    take_adopted(now);
+    settle_successions(now);
+    for (decision& made : keeper_.take_decisions())
+        output_.decisions.push_back(std::move(made));
+}
+
 void entry_core::session_lost(time_point) {
     note("session was lost; its jobs belong to a successor", {},
          {{"jobs", static_cast<std::int64_t>(ledger_.jobs().size())}}, true);
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -27,6 +27,7 @@
     for (const job_step& step : job.record->plan.steps) {
         occurrence.steps.emplace_back(step.task_count);
         occurrence.remaining.push_back(step.task_count);
+        job.waiting_tasks += step.task_count;
     }
 }
 
@@ -38,7 +39,7 @@
         task->failures = progress.failures;
         task->checkpoint = progress.checkpoint;
         if (progress.is_done && task->phase != task_phase::done) {
-            task->phase = task_phase::done;
+            set_phase(job, *task, task_phase::done);
             --job.occurrences[progress.occurrence].remaining[progress.step];
         }
     }
@@ -65,6 +66,14 @@
     return task.index < tasks.size() ? &tasks[task.index] : nullptr;
 }
 
+void job_ledger::set_phase(ledger_job& job, ledger_task& task, task_phase phase) {
+    if (task.phase == task_phase::waiting)
+        --job.waiting_tasks;
+    if (phase == task_phase::waiting)
+        ++job.waiting_tasks;
+    task.phase = phase;
+}
+
 report_effect job_ledger::take_report(ledger_job& job, const run_report& report, agent_number agent,
                                       time_point now) {
     ledger_task* task = find_task(job, report.run.task);
@@ -75,12 +84,12 @@
     if (task->phase == task_phase::waiting && run > task->run) {
         task->run = run;
         task->agent = agent;
-        task->phase = task_phase::placed;
+        set_phase(job, *task, task_phase::placed);
         task->placed = now;
     }
     // A run that was given up may have ended with success before its lease ran out.
     if (report.state == run_state::done && run == task->run && task->phase == task_phase::waiting)
-        task->phase = task_phase::running;
+        set_phase(job, *task, task_phase::running);
     if (run != task->run || task->agent != agent ||
         (task->phase != task_phase::placed && task->phase != task_phase::running))
         return report_effect::nothing;
@@ -93,15 +102,15 @@
     case run_state::running:
         if (task->phase == task_phase::running)
             return report_effect::nothing;
-        task->phase = task_phase::running;
+        set_phase(job, *task, task_phase::running);
         task->started = now - report.run_time();
         return report_effect::started;
     case run_state::done:
-        task->phase = task_phase::done;
+        set_phase(job, *task, task_phase::done);
         --job.occurrences[report.run.task.occurrence].remaining[report.run.task.step];
         return report_effect::done;
     case run_state::failed:
-        task->phase = task_phase::waiting;
+        set_phase(job, *task, task_phase::waiting);
         ++task->failures;
         task->avoided.push_back(agent);
         return report_effect::failed;
@@ -110,7 +119,7 @@
     case run_state::broken:
     case run_state::alone:
     case run_state::refused:
-        task->phase = task_phase::waiting;
+        set_phase(job, *task, task_phase::waiting);
         task->is_moving = false;
         if (report.state != run_state::refused || report.reason == run_refusal::unhealthy_backend)
             task->avoided.push_back(agent);
@@ -129,7 +138,7 @@
 void job_ledger::for_each_placeable(
     ledger_job& job,
     const std::function<void(const task_ref& task, const job_step& step, ledger_task& state)>& visit) {
-    if (job.phase != job_phase::open || !job.is_settled)
+    if (job.phase != job_phase::open || !job.is_settled || job.waiting_tasks == 0)
         return;
     for (auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -35,6 +35,8 @@
     // Null if the job has no such task.
     static ledger_task* find_task(ledger_job& job, const task_ref& task);
 
+    // Changes the phase of a task of the job.
+    static void set_phase(ledger_job& job, ledger_task& task, task_phase phase);
     // Takes what an agent reports of a run.
     static report_effect take_report(ledger_job& job, const run_report& report, agent_number agent,
                                      time_point now);
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -57,6 +57,8 @@
     // A task has started.
     bool has_begun = false;
     std::map<std::uint32_t, ledger_occurrence> occurrences;
+    // Tasks that wait to be placed, those of steps that are not ready among them.
+    std::uint32_t waiting_tasks = 0;
     // Occurrences that are done or running; later ones are not due yet.
     std::uint32_t next_occurrence = 0;
     std::uint32_t occurrences_left = 0;
--- a/coordination/member_directory.cpp
+++ b/coordination/member_directory.cpp
@@ -32,6 +32,7 @@
 } // namespace
 
 void member_directory::reset(const std::vector<store_item>& items, time_point now) {
+    ++version_;
     const std::set<std::string> alive_before = alive_;
     entries_.clear();
     adoptions_.clear();
@@ -47,6 +48,7 @@
 }
 
 void member_directory::apply(const store_item& item, time_point now) {
+    ++version_;
     const bool is_deleted = item.revision == 0;
     if (const auto name = rest_after(item.key, entry_prefix)) {
         const auto* record = std::get_if<member_entry>(&item.value);
--- a/coordination/member_directory.h
+++ b/coordination/member_directory.h
@@ -39,6 +39,8 @@
     const std::map<incarnation, adoption_state>& adoptions() const { return adoptions_; }
     const std::map<std::string, member_agent>& agents() const { return agents_; }
     const entry_state* find_entry(const std::string& name) const;
+    // Grows with each change.
+    std::uint64_t version() const { return version_; }
 
     bool is_alive(const incarnation& session) const;
     // Since when the session's life sign has been missing; empty if it is there.
@@ -56,6 +58,7 @@
     std::set<std::string> alive_;
     std::map<std::string, time_point> missing_since_;
     time_point reset_at_{};
+    std::uint64_t version_ = 0;
 };
 
 } // namespace persimmonstile
--- a/daemon/durable_agent.cpp
+++ b/daemon/durable_agent.cpp
@@ -70,8 +70,14 @@
                 run([&] { core_.replied(reply, clock_.now()); });
             });
     }
+    if (core_.take_address_change() || is_searching_)
+        update_entries();
+}
+
+void durable_agent::update_entries() {
     std::set<std::string> addresses = core_.entry_addresses();
-    if (addresses.empty()) {
+    is_searching_ = addresses.empty();
+    if (is_searching_) {
         find_entries();
         addresses = known_addresses_;
     }
--- a/daemon/durable_agent.h
+++ b/daemon/durable_agent.h
@@ -46,6 +46,7 @@
     void run(const std::function<void()>& event);
     void flush();
     void schedule();
+    void update_entries();
     void find_entries();
     void entries_listed(const store_reply& reply);
 
@@ -59,6 +60,8 @@
     // Addresses from the settings and the store, for use while no entry is connected that names others.
     std::set<std::string> known_addresses_;
     std::set<std::string> dialed_;
+    // No connected entry names others.
+    bool is_searching_ = true;
     bool is_listing_ = false;
     time_point next_listing_{};
     bool is_stopped_ = false;
--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -173,6 +173,9 @@
 
 // Of two entries, the one with the smaller address makes the connection.
 void durable_entry::update_peers() {
+    if (core_.members().version() == members_version_)
+        return;
+    members_version_ = core_.members().version();
     std::set<std::string> addresses;
     for (const auto& [name, state] : core_.members().entries()) {
         if (own_address_ < state.record.peer_address)
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -99,6 +99,7 @@
     std::unordered_map<caller_token, open_request> replies_;
     entry_metrics metrics_;
     std::set<std::string> dialed_;
+    std::uint64_t members_version_ = 0;
     bool is_flushing_ = false;
     bool is_stopped_ = false;
 };
--- a/protocol/record_codec.h
+++ b/protocol/record_codec.h
@@ -10,7 +10,9 @@
 
 // MessagePack form of a structure or variant.
 template <typename T> std::string encode_record(const T& value) {
-    msgpack::sbuffer buffer;
+    // Kept, because a new one takes several kilobytes each time.
+    thread_local msgpack::sbuffer buffer;
+    buffer.clear();
     msgpack::pack(buffer, value);
     return {buffer.data(), buffer.size()};
 }
@@ -18,9 +20,15 @@
 // Empty if the bytes are malformed or of another type.
 template <typename T> std::optional<T> decode_record(std::string_view bytes) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        // Kept as well. Texts in it refer to the bytes, which live as long as this call.
+        thread_local msgpack::zone zone;
+        zone.clear();
+        const auto refer = [](msgpack::type::object_type, std::size_t, void*) {
+            return true;
+        };
+        const msgpack::object read = msgpack::unpack(zone, bytes.data(), bytes.size(), refer);
         T value;
-        handle.get().convert(value);
+        read.convert(value);
         return value;
     } catch (const msgpack::unpack_error&) {
         return std::nullopt;
--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -87,43 +87,49 @@
 }
 
 void frame_connection::read_some() {
-    const std::size_t used = incoming_.size();
-    incoming_.resize(used + read_chunk);
-    socket_.async_read_some(asio::buffer(incoming_.data() + used, read_chunk),
-                            asio::bind_executor(strand_, [self = shared_from_this(),
-                                                          used](asio::error_code error, std::size_t count) {
-                                self->incoming_.resize(used + count);
-                                if (error || self->closed_) {
-                                    self->do_close(error ? error.message() : "closed");
-                                    return;
-                                }
-                                self->last_received_ = self->clock_.now();
-                                self->bytes_received_ += count;
-                                if (self->take_frames())
-                                    self->read_some();
-                            }));
+    socket_.async_read_some(
+        asio::buffer(chunk_),
+        asio::bind_executor(strand_, [self = shared_from_this()](asio::error_code error, std::size_t count) {
+            if (error || self->closed_)
+                self->do_close(error ? error.message() : "closed");
+            else
+                self->received(count);
+        }));
+}
+
+void frame_connection::received(std::size_t count) {
+    last_received_ = clock_.now();
+    bytes_received_ += count;
+    if (incoming_.empty()) {
+        const std::size_t taken = take_frames({chunk_.data(), count});
+        if (!closed_)
+            incoming_.append(chunk_.data() + taken, count - taken);
+    } else {
+        incoming_.append(chunk_.data(), count);
+        incoming_.erase(0, take_frames(incoming_));
+    }
+    if (!closed_)
+        read_some();
 }
 
-bool frame_connection::take_frames() {
+// Handles the whole frames. Returns how many bytes they have.
+std::size_t frame_connection::take_frames(std::string_view bytes) {
     std::size_t position = 0;
-    while (incoming_.size() - position >= header_size) {
-        const std::size_t length = read_length(incoming_.data() + position);
+    while (!closed_ && bytes.size() - position >= header_size) {
+        const std::size_t length = read_length(bytes.data() + position);
         if (length > max_payload) {
             do_close("a frame exceeds the size limit");
-            return false;
+            break;
         }
-        if (incoming_.size() - position < header_size + length)
+        if (bytes.size() - position < header_size + length)
             break;
-        const auto kind = static_cast<frame_kind>(incoming_[position + 4]);
-        const std::string_view payload{incoming_.data() + position + header_size, length};
+        const auto kind = static_cast<frame_kind>(bytes[position + 4]);
+        const std::string_view payload{bytes.data() + position + header_size, length};
+        position += header_size + length;
         if (kind != frame_kind::heartbeat)
             on_frame_(kind, payload);
-        if (closed_)
-            return false;
-        position += header_size + length;
     }
-    incoming_.erase(0, position);
-    return true;
+    return position;
 }
 
 void frame_connection::write_pending() {
--- a/transport/frame_connection.h
+++ b/transport/frame_connection.h
@@ -46,10 +46,11 @@
 
 private:
     static constexpr std::size_t header_size = 5;
-    static constexpr std::size_t read_chunk = std::size_t{64} * 1024;
+    static constexpr std::size_t read_chunk = std::size_t{16} * 1024;
 
     void read_some();
-    bool take_frames();
+    void received(std::size_t count);
+    std::size_t take_frames(std::string_view bytes);
     void write_pending();
     void schedule_heartbeat();
     void check_silence();
@@ -63,6 +64,8 @@
     close_handler on_close_;
 
     // Touched on the strand only.
+    std::array<char, read_chunk> chunk_;
+    // Begin of a frame whose rest has not arrived.
     std::string incoming_;
     std::string writing_;
     time_point last_received_;
