Take a listing without changes for no change

Cause: in the soak entries logged a new configuration three times a second for good after the store had been slow once. A listing carries the revision of the whole store, which every write moves; the entry told it to its peers as that of a change, they listed the records in turn, and their listing was newer again.

Change: a listing is compared with what is known. The revision of the change is the newest of the items that differ, or that of the listing if one is gone.

Test: takes_a_listing_without_changes_for_no_change fails without the change.

--- a/coordination/prefix_view.cpp
+++ b/coordination/prefix_view.cpp
@@ -87,18 +87,35 @@
     // A listing that is older than what was seen must not undo it.
     if (listing_revision_ < revision_)
         return;
-    items_.clear();
-    for (const store_item& item : listing_)
-        items_[item.key] = item;
-    listing_.clear();
+    take_listing();
     revision_ = listing_revision_;
-    change_revision_ = listing_revision_;
     is_listed_ = true;
     is_known_ = true;
-    has_changed_ = true;
     confirmed_ = sent_;
 }
 
+// The revision of the listing is that of the whole store, so it tells nothing about changes of these items,
+// but that a missing one was removed before it.
+void prefix_view::take_listing() {
+    std::map<std::string, store_item> items;
+    std::uint64_t changed = 0;
+    std::size_t kept = 0;
+    for (const store_item& item : listing_) {
+        const auto known = items_.find(item.key);
+        const bool is_same = known != items_.end() && known->second.revision == item.revision;
+        kept += known != items_.end() ? 1 : 0;
+        if (!is_same)
+            changed = std::max(changed, item.revision);
+        items[item.key] = item;
+    }
+    if (kept < items_.size())
+        changed = listing_revision_;
+    listing_.clear();
+    items_ = std::move(items);
+    has_changed_ = has_changed_ || changed != 0 || !is_known_;
+    change_revision_ = std::max(change_revision_, changed);
+}
+
 void prefix_view::apply(const store_item& item) {
     if (item.revision == 0) {
         items_.erase(item.key);
--- a/coordination/prefix_view.h
+++ b/coordination/prefix_view.h
@@ -45,6 +45,7 @@
 
 private:
     void listed(const item_listing& page, time_point now);
+    void take_listing();
     void apply(const store_item& item);
 
     std::string prefix_;
