--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -64,6 +64,13 @@
     }
 }
 
+std::vector<job_id> callers::open_jobs() const {
+    std::vector<job_id> ids;
+    for (const auto& [id, job] : open_)
+        ids.push_back(id);
+    return ids;
+}
+
 milliseconds callers::work_in(const std::string& payload, task_index index) {
     std::int64_t work_ms = 100;
     std::from_chars(payload.data(), payload.data() + payload.size(), work_ms);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -39,7 +39,7 @@
     void stop_submitting() { is_submitting_ = false; }
     void set_calm(bool is_calm) { is_calm_ = is_calm; }
     // Jobs whose end their callers do not know.
-    std::size_t open_jobs() const { return open_.size(); }
+    std::vector<job_id> open_jobs() const;
     const caller_totals& totals() const { return totals_; }
 
 private:
--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -300,7 +300,7 @@
         faults.is_hanging = true;
         break;
     default:
-        kind = "refused orders";
+        kind = "refused starts";
         faults.is_refusing = true;
         break;
     }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,3 +1,5 @@
+#include "coordination/store_keys.h"
+#include "protocol/record_codec.h"
 #include "soak/callers.h"
 #include "soak/deployment.h"
 #include "soak/fault_series.h"
@@ -113,7 +115,7 @@
         }
         callers_.set_calm(false);
         callers_.stop_submitting();
-        run_until([this] { return callers_.open_jobs() == 0; }, bounds_.finish + bounds_.contact);
+        run_until([this] { return callers_.open_jobs().empty(); }, bounds_.finish + bounds_.contact);
         check_.finish(clock_.now());
         return report();
     }
@@ -154,13 +156,28 @@
         });
     }
 
+    // What the store holds about a job, for a report.
+    std::string stored_state(const job_id& job) {
+        const auto& items = world_.store().model().items();
+        const auto found = items.find(job_key(job));
+        if (found == items.end())
+            return "not in the store";
+        const auto* bytes = std::get_if<std::string>(&found->second.value);
+        const auto record = bytes != nullptr ? decode_record<stored_record>(*bytes) : std::nullopt;
+        const auto* status = record ? std::get_if<job_status>(&*record) : nullptr;
+        if (status == nullptr)
+            return "unreadable in the store";
+        return "in the store " + std::string{to_string(status->state)} + " since revision " +
+               std::to_string(found->second.revision) + ", accepted by " + session_text(status->owner);
+    }
+
     bool report() {
         const caller_totals& totals = callers_.totals();
         std::vector<std::string> broken = check_.violations();
         if (own_ends_ > 0)
             broken.push_back("processes: " + std::to_string(own_ends_) + " ended by themselves");
-        if (callers_.open_jobs() > 0)
-            broken.push_back("answers: " + std::to_string(callers_.open_jobs()) + " jobs have no known end");
+        for (const job_id& job : callers_.open_jobs())
+            broken.push_back("answers: " + job + " has no known end; " + stored_state(job));
         // What RULES of the users ask of recovery: a quarter of the callers served once everything is back.
         if (totals.calm_completed * 4 < totals.calm_jobs)
             broken.push_back("recovery: " + std::to_string(totals.calm_completed) + " of " +
--- a/standins/order_faults.h
+++ b/standins/order_faults.h
@@ -8,7 +8,7 @@
     double late_orders = 0;
     // Part of the runs that fail at their end.
     double failing = 0;
-    // Orders are refused as from an unhealthy backend server.
+    // Starts are refused as from an unhealthy backend server.
     bool is_refusing = false;
     // Tasks make no progress.
     bool is_hanging = false;
