--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -1,6 +1,7 @@
 #include "soak/deployment.h"
 
 #include "standins/caller_wire.h"
+#include "transport/logging.h"
 
 #include <csignal>
 #include <filesystem>
@@ -45,6 +46,9 @@
 constexpr int first_network = 16;
 constexpr int network_count = 200;
 
+// Added to the number of the signal that ended a process.
+constexpr int signal_base = 128;
+
 std::size_t zone_of(int number) {
     return static_cast<std::size_t>(number) % 3;
 }
@@ -214,9 +218,14 @@
         for (daemon_node& node : *nodes) {
             if (!node.process || !node.process->has_ended())
                 continue;
-            const bool was_killed = node.process->exit_code() == 128 + SIGKILL;
-            if (!was_killed && (!node.is_asked_to_end || node.process->exit_code() != 0))
+            const int code = node.process->exit_code();
+            // SIGTERM may come before a process has set its handler up.
+            const bool is_orderly = node.is_asked_to_end && (code == 0 || code == signal_base + SIGTERM);
+            if (code != signal_base + SIGKILL && !is_orderly) {
                 ++own_ends;
+                log_event(log_level::error, "processes", "process has ended by itself",
+                          {{"name", node.name}, {"exit_code", code}});
+            }
             start(node);
         }
     }
