Judge backend servers at their agent, and stalled tasks by their expected run time

Ruled out: failing runs (109 in 12 s, the usual rate) and lost orders.

Change: an agent counts the failed, stalled and refused runs of all entries, tells them that its backend server is suspect, and offers an eighth of the room after the pause until a run has succeeded. Suspect places are used only if most are suspect. A task counts as stalled after a quarter of its expected run time, 100 ms at least, measured by the clock that the lists carry, so late lists prove nothing. Runs that were tried before do not count against a backend server. Lists that tell nothing new follow each other after 10 ms: with kept jobs an agent asked without a pause.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -62,6 +62,8 @@
     is_silent_ = false;
     last_sequence_ = 0;
     unanswered_holds_ = 0;
+    last_listed_end_ = 0;
+    health_ = {};
     ends_ = {};
     last_reply_ = {};
     confirmed_end_ = 0;
@@ -124,7 +126,7 @@
         tell_owners(now);
     }
     check_owners(now);
-    check_progress(now);
+    check_waits(now);
     offer_orphans(now);
     for (const auto& [link, state] : links_) {
         if (is_ping_due(state, now))
@@ -141,12 +143,14 @@
     if (!queue_.empty())
         next = std::min(next, now + limits_.queue_patience / 4);
     for (const auto& [link, state] : links_) {
-        if (has_news(state))
+        if (has_news(state, now))
             next = std::min(next, news_due(state));
         next = std::min(next, std::max(state.echoed, state.asked) + limits_.ping_interval);
     }
     if (runs_.active_count() > 0)
         next = std::min(next, now + limits_.hold_wait);
+    if (health_.is_avoided(now))
+        next = std::min(next, health_.avoided_until());
     return std::max(next, now);
 }
 
@@ -156,7 +160,7 @@
         raise_token(now);
     if (is_hold_due(now))
         order_hold(now);
-    send_profile_if_changed();
+    send_profile_if_changed(now);
     flush_reports(now);
     return std::exchange(output_, {});
 }
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -4,6 +4,7 @@
 #include "coordination/agent_output.h"
 #include "coordination/backend_announcement.h"
 #include "coordination/backend_clock.h"
+#include "coordination/backend_health.h"
 #include "coordination/backend_reply.h"
 #include "coordination/end_acknowledger.h"
 #include "coordination/round_trip_estimate.h"
@@ -108,7 +109,8 @@
     void hold_replied(const sent_order& sent, const backend_reply& reply, bool is_raise, time_point now);
     void take_lists(const sent_order& hold, const backend_reply& reply, time_point now);
     void take_end(const listed_end& end, time_point now);
-    void take_running(const listed_run& listed, time_point now);
+    void take_running(const listed_run& listed, std::int64_t clock_ms, time_point now);
+    bool is_stalled(const run_record& record, const listed_run& listed, std::int64_t clock_ms) const;
     void resolve_doubts(const sent_order& hold, const std::set<run_ref>& listed, time_point now);
     void find_vanished(const sent_order& hold, const std::set<run_ref>& listed, time_point now);
 
@@ -139,7 +141,7 @@
     std::optional<run_refusal> obstacle() const;
     bool is_present(const incarnation& owner, bool is_kept, time_point now) const;
     void check_owners(time_point now);
-    void check_progress(time_point now);
+    void check_waits(time_point now);
 
     // Messages to entries.
     run_report report_of(const run_record& record, time_point now) const;
@@ -149,11 +151,13 @@
     void ping(link_number link, time_point now);
     bool is_ping_due(const link_state& state, time_point now) const;
     void send_inventory(link_number link, const incarnation& owner, time_point now);
-    void send_profile_if_changed();
-    agent_profile profile() const;
-    agent_room room_for(const link_state& link) const;
+    void send_profile_if_changed(time_point now);
+    agent_profile profile(time_point now) const;
+    resources free_room(time_point now) const;
+    agent_room room_for(const link_state& link, time_point now) const;
+    void judge(const run_record& record, time_point now);
     void flush_reports(time_point now);
-    bool has_news(const link_state& link) const;
+    bool has_news(const link_state& link, time_point now) const;
     time_point news_due(const link_state& link) const;
     void send_reports(link_number link, link_state& state, time_point now);
     bool is_zone_out() const;
@@ -173,6 +177,7 @@
     bool is_profiled_ = false;
     std::uint64_t last_sequence_ = 0;
     backend_clock clock_;
+    backend_health health_;
     std::uint64_t token_ = 0;
     // All older orders are void and the lists were read, so everything that runs is known.
     bool is_settled_ = false;
@@ -201,6 +206,8 @@
     time_point next_hold_{};
     time_point next_raise_{};
     bool is_raise_wanted_ = false;
+    // The newest end that a list has shown.
+    std::uint64_t last_listed_end_ = 0;
     // Unanswered hold orders in a row.
     unsigned unanswered_holds_ = 0;
     // Of orders that are answered at once.
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -58,9 +58,21 @@
     // An end whose owner has been away for so long is offered to all entries: the owner's successor may never
     // have met this agent.
     milliseconds owner_patience{6000};
-    // Without progress for this long a task counts as stalled. One hundredth of the longest usual task takes
-    // 36 ms, so a healthy task shows progress in between.
-    milliseconds stall_limit{400};
+    // Without progress for a quarter of its expected run time a task counts as stalled: progress is told in
+    // hundredths, and a slow backend server may take several times as long as expected. Bounded below by two
+    // waits for a list, and above because expectations may be wrong.
+    milliseconds shortest_stall{100};
+    milliseconds longest_stall{400};
+    milliseconds stall_limit(milliseconds expected) const {
+        return expected.count() == 0 ? longest_stall
+                                     : std::clamp(expected / 4, shortest_stall, longest_stall);
+    }
+    // While it is not known whether a backend server that was suspect is sound again, it gets this part of
+    // its room.
+    static constexpr std::int64_t probation_divisor = 8;
+    // A list that came sooner than asked for without anything new is followed by the next one after this
+    // time, so that ends which wait for their record do not make the agent ask without a pause.
+    milliseconds list_pause{10};
 };
 
 } // namespace persimmonstile
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -15,7 +15,7 @@
 void agent_core::link_opened(link_number link, time_point now) {
     has_new_addresses_ = true;
     links_[link] = {};
-    output_.messages.emplace_back(link, profile());
+    output_.messages.emplace_back(link, profile(now));
     // Its pong comes before the first order.
     ping(link, now);
 }
@@ -122,6 +122,7 @@
         record.needs = start.needs;
         record.payload = payload;
         record.checkpoint = start.checkpoint;
+        record.expected = start.expected();
         record.accepted = now;
         runs_.add(std::move(record));
         queue_.push_back(run);
@@ -265,24 +266,40 @@
     output_.messages.emplace_back(link, std::move(inventory));
 }
 
-agent_room agent_core::room_for(const link_state& link) const {
-    return {backend_.capacity - runs_.held(), runs_.queued(), link.starts_seen};
+// What entries may use. Until a run has succeeded after a pause, that is little.
+resources agent_core::free_room(time_point now) const {
+    resources free = backend_.capacity - runs_.held();
+    if (health_.is_on_probation(now)) {
+        const resources part{backend_.capacity.cpu_millicores / agent_limits::probation_divisor,
+                             backend_.capacity.memory_mb / agent_limits::probation_divisor,
+                             backend_.capacity.gpus};
+        const resources left = part - runs_.held();
+        free.cpu_millicores = std::min(free.cpu_millicores, left.cpu_millicores);
+        free.memory_mb = std::min(free.memory_mb, left.memory_mb);
+    }
+    return free;
+}
+
+agent_room agent_core::room_for(const link_state& link, time_point now) const {
+    return {free_room(now), runs_.queued(), link.starts_seen};
 }
 
-agent_profile agent_core::profile() const {
+agent_profile agent_core::profile(time_point now) const {
     agent_profile profile;
     profile.agent = self_;
     profile.zone = zone_;
     profile.backend = backend_;
     profile.accepts_runs = !obstacle();
-    profile.room = {backend_.capacity - runs_.held(), runs_.queued(), 0};
+    profile.is_suspect = health_.is_avoided(now);
+    profile.room = {free_room(now), runs_.queued(), 0};
     return profile;
 }
 
-void agent_core::send_profile_if_changed() {
-    if (told_profile_.accepts_runs == !obstacle() && told_profile_.backend == backend_)
+void agent_core::send_profile_if_changed(time_point now) {
+    if (told_profile_.accepts_runs == !obstacle() && told_profile_.is_suspect == health_.is_avoided(now) &&
+        told_profile_.backend == backend_)
         return;
-    agent_profile current = profile();
+    agent_profile current = profile(now);
     told_profile_ = current;
     for (const auto& [link, state] : links_) {
         current.room.starts_seen = state.starts_seen;
@@ -292,13 +309,13 @@
 
 void agent_core::flush_reports(time_point now) {
     for (auto& [link, state] : links_) {
-        if (state.has_urgent_report || (has_news(state) && now >= news_due(state)))
+        if (state.has_urgent_report || (has_news(state, now) && now >= news_due(state)))
             send_reports(link, state, now);
     }
 }
 
-bool agent_core::has_news(const link_state& link) const {
-    return !link.reports.empty() || !(room_for(link) == link.told);
+bool agent_core::has_news(const link_state& link, time_point now) const {
+    return !link.reports.empty() || !(room_for(link, now) == link.told);
 }
 
 time_point agent_core::news_due(const link_state& link) const {
@@ -309,7 +326,7 @@
     run_reports message;
     message.reports.swap(state.reports);
     state.has_urgent_report = false;
-    message.room = room_for(state);
+    message.room = room_for(state, now);
     message.sent_ns = now.time_since_epoch().count();
     state.told = message.room;
     state.told_at = now;
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -182,7 +182,8 @@
     switch (reply.verdict) {
     case backend_verdict::accepted:
         runs_.set_state(*record, run_state::running);
-        record->started = record->progressed = now;
+        record->started = now;
+        record->progressed_ms = reply.clock_ms;
         report(*record, now);
         if (record->stop_wanted && !record->stop_ordered)
             order_stop(*record, now);
@@ -242,7 +243,11 @@
                               time_point now) {
     if (reply.verdict == backend_verdict::accepted) {
         unanswered_holds_ = 0;
-        next_hold_ = now;
+        const bool is_new = !reply.ended.empty() && reply.ended.back().number > last_listed_end_;
+        const bool is_early = now - sent.sent < std::get<hold_order>(sent.order.action).wait / 2;
+        next_hold_ = is_early && !is_new ? now + limits_.list_pause : now;
+        if (!reply.ended.empty())
+            last_listed_end_ = std::max(last_listed_end_, reply.ended.back().number);
         confirmed_end_ = std::max(confirmed_end_, std::get<hold_order>(sent.order.action).acknowledged_end);
         if (is_silent_) {
             is_silent_ = false;
@@ -286,7 +291,7 @@
     }
     for (const listed_run& run : reply.running) {
         listed.insert(run.run);
-        take_running(run, now);
+        take_running(run, reply.clock_ms, now);
     }
     if (!is_settled_ && hold.order.fencing_token == token_)
         settle(now);
@@ -320,7 +325,7 @@
     end_run(*record, end.how, record->reason, now);
 }
 
-void agent_core::take_running(const listed_run& listed, time_point now) {
+void agent_core::take_running(const listed_run& listed, std::int64_t clock_ms, time_point now) {
     run_record* record = runs_.find(listed.run);
     if (record == nullptr) {
         note("found a run at the backend server", listed.run.task.job,
@@ -328,7 +333,8 @@
         run_record found;
         found.run = listed.run;
         found.state = run_state::running;
-        found.accepted = found.started = found.progressed = now;
+        found.accepted = found.started = now;
+        found.progressed_ms = clock_ms;
         found.percent = listed.percent;
         found.checkpoint = listed.checkpoint;
         // Whatever was given up has no owner that could claim it.
@@ -340,16 +346,31 @@
         return;
     if (record->state == run_state::starting) {
         runs_.set_state(*record, run_state::running);
-        record->started = record->progressed = now;
+        record->started = now;
         record->in_doubt = false;
         report(*record, now);
     }
-    if (listed.percent > record->percent) {
-        record->percent = listed.percent;
-        record->progressed = now;
-    }
     if (!listed.checkpoint.empty())
         record->checkpoint = listed.checkpoint;
+    if (record->progressed_ms == 0 || listed.percent > record->percent) {
+        record->percent = listed.percent;
+        record->progressed_ms = clock_ms;
+    } else if (is_stalled(*record, listed, clock_ms)) {
+        note("task makes no progress", listed.run.task.job,
+             {{"step", listed.run.task.step},
+              {"task", listed.run.task.index},
+              {"run", static_cast<std::int64_t>(listed.run.run)},
+              {"percent", record->percent},
+              {"for_ms", clock_ms - record->progressed_ms}},
+             true);
+        want_stop(*record, run_refusal::stalled, now);
+    }
+}
+
+// Judged by the clock of the backend server, because lists may come late.
+bool agent_core::is_stalled(const run_record& record, const listed_run& listed, std::int64_t clock_ms) const {
+    return record.state == run_state::running && !record.stop_wanted && listed.percent <= record.percent &&
+           clock_ms - record.progressed_ms >= limits_.stall_limit(record.expected).count();
 }
 
 // An unanswered start with a lower token that the lists do not show was not carried out and never will be.
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -11,6 +11,7 @@
     record.reason = reason;
     record.ended = now;
     output_.ends.push_back(state);
+    judge(record, now);
     report(record, now);
     // A listed end has to be kept until it is recorded, if anybody records it.
     const bool is_claimed = !record.owner.name.empty();
@@ -21,6 +22,23 @@
     runs_.erase(run_ref{record.run});
 }
 
+// A run that was tried before may fail by its own fault, so only the first one counts against the backend
+// server.
+void agent_core::judge(const run_record& record, time_point now) {
+    if (record.state == run_state::done) {
+        health_.succeeded();
+        return;
+    }
+    const bool is_bad =
+        (record.state == run_state::failed && record.run.run == 1) ||
+        (record.state == run_state::stopped && record.reason == run_refusal::stalled) ||
+        (record.state == run_state::refused && record.reason == run_refusal::unhealthy_backend);
+    if (!is_bad || !health_.failed(record.run.task.job, now))
+        return;
+    const auto pause = std::chrono::duration_cast<milliseconds>(health_.avoided_until() - now);
+    note("backend server is suspect", {}, {{"backend", backend_.id}, {"for_ms", pause.count()}}, true);
+}
+
 void agent_core::want_stop(run_record& record, run_refusal reason, time_point now) {
     if (is_final(record.state) || record.stop_wanted)
         return;
@@ -82,7 +100,7 @@
     });
 }
 
-void agent_core::check_progress(time_point now) {
+void agent_core::check_waits(time_point now) {
     if (is_silent_ && now >= lease_bound_) {
         std::vector<run_ref> lapsed;
         runs_.for_each([&](run_record& record) {
@@ -96,22 +114,6 @@
             end_run(*runs_.find(run), run_state::lapsed, run_refusal::no_backend, now);
         }
     }
-    std::vector<run_ref> stalled;
-    runs_.for_each([&](run_record& record) {
-        if (record.state == run_state::running && !record.stop_wanted && !is_silent_ &&
-            now - record.progressed >= limits_.stall_limit && next_hold_ > record.progressed)
-            stalled.push_back(record.run);
-    });
-    for (const run_ref& run : stalled) {
-        run_record& record = *runs_.find(run);
-        note("task makes no progress", run.task.job,
-             {{"step", run.task.step},
-              {"task", run.task.index},
-              {"run", static_cast<std::int64_t>(run.run)},
-              {"percent", record.percent}},
-             true);
-        want_stop(record, run_refusal::stalled, now);
-    }
     std::vector<run_ref> impatient;
     for (const run_ref& run : queue_) {
         const run_record* record = runs_.find(run);
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/agent_output.h"
-#include "coordination/backend_health.h"
 #include "coordination/ledger_task.h"
 #include "coordination/speed_estimate.h"
 #include "state/agent_profile.h"
@@ -47,7 +46,6 @@
     std::int64_t last_reading_ns = 0;
     // Run time in units of the expected one.
     speed_estimate slowness{16};
-    backend_health health;
     // The agent has just refused a run; what it knows and this entry does not arrives shortly.
     time_point refused_until{};
 
--- a/coordination/backend_health.h
+++ b/coordination/backend_health.h
@@ -7,8 +7,8 @@
 
 namespace persimmonstile {
 
-// Whether a backend server gets work, judged by what became of its runs. Its own reports are not enough: one
-// that fails or stalls everything may call itself ready.
+// Whether a backend server is to get work, judged by what became of its runs. Its own reports are not enough:
+// one that fails or stalls everything may call itself ready.
 class backend_health {
 public:
     void succeeded();
@@ -18,6 +18,8 @@
 
     bool is_avoided(time_point now) const { return now < avoided_until_; }
     time_point avoided_until() const { return avoided_until_; }
+    // The pause is over, and no run has succeeded since.
+    bool is_on_probation(time_point now) const { return pause_.count() > 0 && !is_avoided(now); }
 
 private:
     std::uint32_t failures_in_a_row_ = 0;
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -37,10 +37,12 @@
     const bool is_new_link = agent.link != link;
     const bool is_new_backend =
         agent.profile.backend.id != profile.backend.id || agent.profile.backend.life != profile.backend.life;
+    if (profile.is_suspect != agent.profile.is_suspect)
+        note(profile.is_suspect ? "backend server is suspect" : "backend server is tried again", {},
+             {{"agent", agent.name}}, profile.is_suspect);
     agent.profile = profile;
     if (is_new_backend) {
         agent.slowness = speed_estimate{16};
-        agent.health = {};
     }
     if (is_new_link) {
         agents_.connect(agent, link);
@@ -201,7 +203,7 @@
         agent.runs.try_emplace(report.run, 0);
     if (report.awaits_record && job->is_kept())
         job->unrecorded.push_back({agent.number, report.backend_life, report.end_number, now});
-    learn(agent, *job, report, copy, now);
+    learn(agent, *job, report, copy);
     switch (effect) {
     case report_effect::nothing:
         return;
@@ -243,12 +245,11 @@
     }
 }
 
-void entry_core::learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task,
-                       time_point now) {
+void entry_core::learn(agent_view& agent, ledger_job& job, const run_report& report,
+                       const ledger_task& task) {
     if (report.state == run_state::done && task.run == report.run.run && report.run_us > 0 &&
         report.run.task.step < job.record->plan.steps.size()) {
         measure(entry_timing::run, report.run_time());
-        agent.health.succeeded();
         const milliseconds estimate = job.step(report.run.task.step).estimate();
         const std::string& queue = job.record->queue;
         const double expected = times_.expected_seconds(queue, estimate);
@@ -257,15 +258,6 @@
         if (expected > 0)
             agent.slowness.observe(measured / expected, 1.0);
     }
-    const bool is_bad =
-        report.state == run_state::failed ||
-        (report.state == run_state::stopped && report.reason == run_refusal::stalled) ||
-        (report.state == run_state::refused && report.reason == run_refusal::unhealthy_backend);
-    if (is_bad && agent.health.failed(report.run.task.job, now)) {
-        const milliseconds pause =
-            std::chrono::duration_cast<milliseconds>(agent.health.avoided_until() - now);
-        note("backend server is avoided", {}, {{"agent", agent.name}, {"for_ms", pause.count()}}, true);
-    }
 }
 
 void entry_core::note_begin(ledger_job& job) {
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -111,8 +111,7 @@
     void take_room(agent_view& agent, const agent_room& room);
     void take_report(agent_view& agent, const run_report& report, time_point now);
     static void note_begin(ledger_job& job);
-    void learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task,
-               time_point now);
+    void learn(agent_view& agent, ledger_job& job, const run_report& report, const ledger_task& task);
     void task_done(ledger_job& job, const task_ref& task, time_point now);
     void give_up_unreachable(time_point now);
     void lose_run(agent_view& agent, const run_ref& run, time_point now);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -208,6 +208,7 @@
         start.run = task.run;
         start.needs = job.step(planned.task.step).task_needs;
         start.checkpoint = task.checkpoint;
+        start.expected_ms = planned.expected.count();
         message.runs.push_back(std::move(start));
     }
     for (auto& [key, message] : messages) {
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -62,8 +62,8 @@
 bool run_planner::is_usable(const agent_view& agent, const std::string& service,
                             const deployment_config& config, time_point now) {
     return agent.link != 0 && agent.is_introduced && agent.profile.accepts_runs &&
-           agent.profile.backend.service == service && !agent.health.is_avoided(now) &&
-           now >= agent.refused_until && !config.zones_out.contains(agent.profile.backend.zone);
+           agent.profile.backend.service == service && now >= agent.refused_until &&
+           !config.zones_out.contains(agent.profile.backend.zone);
 }
 
 run_plan run_planner::plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
@@ -101,7 +101,9 @@
                 const double seconds = times.expected_seconds(next.job->record->queue, step.estimate());
                 if (agent_view* agent = choose(*next.job, task, state, seconds, candidates, result.runs)) {
                     room_[agent->number] -= step.task_needs;
-                    result.runs.push_back({task, agent->number});
+                    const std::chrono::duration<double> expected{seconds * agent->slowness.value_or(1.0)};
+                    result.runs.push_back(
+                        {task, agent->number, std::chrono::duration_cast<milliseconds>(expected)});
                 }
             });
         if (next.value == worth::none && result.runs.size() == planned_before)
@@ -110,17 +112,21 @@
     return result;
 }
 
-// The agents that may get a run now, with their room noted.
+// The agents that may get a run now, with their room noted. Suspect ones are left out while most are not: if
+// all of them fail, the cause lies elsewhere, and some runs may succeed.
 std::vector<agent_view*> run_planner::usable_agents(agent_directory& agents, const std::string& service,
                                                     const deployment_config& config, time_point now) {
-    std::vector<agent_view*> result;
+    std::vector<agent_view*> sound;
+    std::vector<agent_view*> all;
     for (auto& [number, agent] : agents.all()) {
         if (!is_usable(agent, service, config, now))
             continue;
-        result.push_back(&agent);
+        all.push_back(&agent);
+        if (!agent.profile.is_suspect)
+            sound.push_back(&agent);
         room_[number] = agent.free();
     }
-    return result;
+    return 2 * sound.size() >= all.size() ? sound : all;
 }
 
 // The backend server with room that is expected to finish the task first; null if there is none.
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -18,6 +18,8 @@
 struct planned_run {
     task_ref task;
     agent_number agent = 0;
+    // Expected run time there.
+    milliseconds expected{0};
 };
 
 // What to do with the jobs that wait.
--- a/coordination/run_record.h
+++ b/coordination/run_record.h
@@ -38,8 +38,11 @@
     // A stop order is on its way, or was carried out.
     bool stop_ordered = false;
     std::uint32_t percent = 0;
-    // When percent last grew.
-    time_point progressed{};
+    // When percent last grew, by the clock of the backend server; 0 before the first list that contains the
+    // run.
+    std::int64_t progressed_ms = 0;
+    // Expected run time; 0 if nothing is known of it.
+    milliseconds expected{0};
     time_point ended{};
     std::uint64_t end_number = 0;
 };
--- a/state/agent_profile.h
+++ b/state/agent_profile.h
@@ -20,10 +20,13 @@
     // Empty id while none is known.
     backend_profile backend;
     agent_room room;
+    // Its runs fail or stand still, whatever the backend server says of itself. Better places are to be
+    // preferred.
+    bool is_suspect = false;
 
     static constexpr auto members() {
         return std::make_tuple(&agent_profile::agent, &agent_profile::zone, &agent_profile::accepts_runs,
-                               &agent_profile::backend, &agent_profile::room);
+                               &agent_profile::backend, &agent_profile::room, &agent_profile::is_suspect);
     }
 };
 
--- a/state/run_start.h
+++ b/state/run_start.h
@@ -3,6 +3,7 @@
 #include "state/resources.h"
 #include "state/run_ref.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -18,10 +19,14 @@
     resources needs;
     // Checkpoint to resume from; empty for none.
     std::string checkpoint;
+    // Expected run time at this backend server; 0 if nothing is known of it.
+    std::int64_t expected_ms = 0;
+
+    std::chrono::milliseconds expected() const { return std::chrono::milliseconds{expected_ms}; }
 
     static constexpr auto members() {
         return std::make_tuple(&run_start::occurrence, &run_start::step, &run_start::index, &run_start::run,
-                               &run_start::needs, &run_start::checkpoint);
+                               &run_start::needs, &run_start::checkpoint, &run_start::expected_ms);
     }
 };
 
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -20,6 +20,7 @@
     const incarnation process_{"entry", 5};
     const incarnation session_{"entry", 6};
     time_point now_{std::chrono::seconds{100}};
+    std::int64_t backend_clock_ms_ = 50000;
     agent_core agent_{incarnation{"agent", 1}, "zone", agent_limits{}, now_};
     std::vector<backend_order> orders_;
     std::vector<work_message> messages_;
@@ -33,6 +34,7 @@
 
     void pass(milliseconds time) {
         now_ += time;
+        backend_clock_ms_ += time.count();
         agent_.tick(now_);
         collect();
     }
@@ -69,7 +71,7 @@
         backend_reply reply;
         reply.id = order.id;
         reply.verdict = verdict;
-        reply.clock_ms = 50000;
+        reply.clock_ms = backend_clock_ms_;
         reply.life = verdict == backend_verdict::no_answer ? 0 : life;
         reply.running = std::move(running);
         reply.ended = std::move(ended);
@@ -96,6 +98,28 @@
         collect();
     }
 
+    void send_start_expected(milliseconds expected) {
+        start_runs message;
+        message.owner = process_;
+        message.job = "job";
+        message.is_kept = false;
+        message.runs.push_back({0, 0, 0, 1, {task_millicores, 64, 0}, {}, expected.count()});
+        agent_.received(entry_link, message, now_);
+        collect();
+    }
+
+    // The room that the entry was told last.
+    agent_room last_room() const {
+        agent_room room;
+        for (const work_message& message : messages_) {
+            if (const auto* profile = std::get_if<agent_profile>(&message))
+                room = profile->room;
+            else if (const auto* reports = std::get_if<run_reports>(&message))
+                room = reports->room;
+        }
+        return room;
+    }
+
     void send_starts(std::uint32_t tasks, bool is_kept, const job_id& job = "job", run_number run = 1,
                      milliseconds remaining = milliseconds{0}) {
         start_runs message;
@@ -104,7 +128,7 @@
         message.is_kept = is_kept;
         message.remaining_ms = remaining.count();
         for (task_index i = 0; i < tasks; ++i)
-            message.runs.push_back({0, 0, i, run, {task_millicores, 64, 0}, {}});
+            message.runs.push_back({0, 0, i, run, {task_millicores, 64, 0}, {}, 0});
         agent_.received(entry_link, message, now_);
         collect();
     }
@@ -250,7 +274,7 @@
         message.job = "job" + std::to_string(i);
         message.is_kept = false;
         message.pong = {now_.time_since_epoch().count(), true};
-        message.runs.push_back({0, 0, 0, 1, {task_millicores, 64, 0}, {}});
+        message.runs.push_back({0, 0, 0, 1, {task_millicores, 64, 0}, {}, 0});
         agent_.received(entry_link, message, now_);
         collect();
     }
@@ -443,6 +467,105 @@
     EXPECT_TRUE(take_order<stop_order>());
 }
 
+// Guards against a short task that stands still for longer than its caller can wait.
+TEST_F(agent_core_test, ends_a_short_run_without_progress_sooner) {
+    prepare();
+    send_start_expected(milliseconds{60});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    for (int i = 0; i < 3; ++i) {
+        pass(milliseconds{60});
+        hear();
+        if (const auto hold = take_order<hold_order>())
+            answer(*hold, backend_verdict::accepted, {{run_of(0), {}, 0}});
+    }
+    EXPECT_TRUE(take_order<stop_order>());
+}
+
+// Guards against ending sound runs because the agent itself stood still or its lists came late.
+TEST_F(agent_core_test, does_not_take_late_lists_for_missing_progress) {
+    prepare();
+    send_start_expected(milliseconds{60});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    const std::int64_t asked_ms = backend_clock_ms_ + 50;
+    const auto hold = take_order<hold_order>();
+    pass(milliseconds{700});
+    hear();
+    backend_clock_ms_ = asked_ms;
+    answer(*hold, backend_verdict::accepted, {{run_of(0), {}, 0}});
+    pass(milliseconds{1});
+    EXPECT_FALSE(take_order<stop_order>());
+}
+
+// Guards against entries that each lose some jobs to a backend server before they avoid it, and against one
+// that gets its whole room as soon as its pause is over.
+TEST_F(agent_core_test, tells_entries_that_its_backend_server_is_suspect) {
+    prepare();
+    const auto is_suspect = [&] {
+        bool result = false;
+        for (const work_message& message : messages_) {
+            if (const auto* profile = std::get_if<agent_profile>(&message))
+                result = profile->is_suspect;
+        }
+        return result;
+    };
+    const auto fail = [&](const job_id& job, std::uint64_t number) {
+        send_starts(1, false, job);
+        answer(*take_order<start_order>(), backend_verdict::accepted);
+        answer(*take_order<hold_order>(), backend_verdict::accepted, {},
+               {{number, run_of(0, job), run_state::failed, {}}});
+    };
+    fail("a", 1);
+    EXPECT_FALSE(is_suspect());
+    fail("b", 2);
+    EXPECT_TRUE(is_suspect());
+    for (int i = 0; i < 11; ++i) {
+        pass(milliseconds{100});
+        hear();
+        if (const auto hold = take_order<hold_order>())
+            answer(*hold, backend_verdict::accepted);
+    }
+    EXPECT_FALSE(is_suspect());
+    EXPECT_LT(last_room().free.cpu_millicores, 10000 / 4);
+    send_starts(1, false, "c");
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {},
+           {{3, run_of(0, "c"), run_state::done, {}}});
+    EXPECT_EQ(last_room().free.cpu_millicores, 10000);
+}
+
+// Guards against a sound backend server that is avoided because of jobs that cannot be done anywhere.
+TEST_F(agent_core_test, does_not_blame_its_backend_server_for_runs_that_failed_elsewhere_before) {
+    prepare();
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        const job_id job = "job" + std::to_string(number);
+        send_starts(1, false, job, 2);
+        answer(*take_order<start_order>(), backend_verdict::accepted);
+        answer(*take_order<hold_order>(), backend_verdict::accepted, {},
+               {{number, {{job, 0, 0, 0}, 2}, run_state::failed, {}}});
+    }
+    for (const work_message& message : messages_) {
+        if (const auto* profile = std::get_if<agent_profile>(&message)) {
+            EXPECT_FALSE(profile->is_suspect);
+        }
+    }
+}
+
+// Guards against an agent that asks for lists without a pause while an end waits for its record.
+TEST_F(agent_core_test, pauses_between_lists_that_tell_nothing_new) {
+    prepare();
+    send_starts(2, true);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    const std::vector<listed_end> ends{{1, run_of(0), run_state::done, {}}};
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(1), {}, 10}}, ends);
+    const auto next = take_order<hold_order>();
+    ASSERT_TRUE(next);
+    answer(*next, backend_verdict::accepted, {{run_of(1), {}, 10}}, ends);
+    EXPECT_FALSE(take_order<hold_order>());
+    pass(agent_limits{}.list_pause);
+    EXPECT_TRUE(take_order<hold_order>());
+}
+
 // Guards against a restarted agent that starts tasks beside runs of unknown size, and against one that takes
 // its predecessor's runs for its own.
 TEST_F(agent_core_test, offers_found_runs_and_starts_nothing_until_they_are_claimed) {
