--- a/tests/load_world.h
+++ b/tests/load_world.h
@@ -419,8 +419,7 @@
         needs_[request.job] = kind.millicores;
         milliseconds longest{1};
         for (task_index i = 0; i < step.task_count; ++i) {
-            const milliseconds task_work{
-                std::max<std::int64_t>(1, std::llround(work * around(task_spread)))};
+            const milliseconds task_work{std::max<std::int64_t>(1, std::llround(work * around(task_spread)))};
             longest = std::max(longest, task_work);
             for (const auto& agent : agents_)
                 agent->backend.set_work({request.job, 0, 0, i}, task_work);
--- a/tests/prefix_view_test.cpp
+++ b/tests/prefix_view_test.cpp
@@ -60,9 +60,9 @@
     EXPECT_EQ(std::get<std::string>(view_.items().at("op/config").value), "two");
 }
 
-// Guards against entries that make each other list again and again: a listing tells the revision of the whole store,
-// which grows with every change of anything. Seen in the soak, where two entries read the operators' records three
-// times a second for good after one slow answer.
+// Guards against entries that make each other list again and again: a listing tells the revision of the whole
+// store, which grows with every change of anything. Seen in the soak, where two entries read the operators'
+// records three times a second for good after one slow answer.
 TEST_F(prefix_view_test, takes_a_listing_without_changes_for_no_change) {
     list("one", 10);
     EXPECT_EQ(view_.change_revision(), 10U);
@@ -76,8 +76,8 @@
 
 // Guards against a removal that only the listing shows, and of which the peers would not hear.
 TEST_F(prefix_view_test, takes_a_listing_without_a_former_item_for_a_change) {
-    view_.replied(take_call().id, item_listing{{item("one", 10), {"op/evacuate/z", std::string{}, 12}}, false, 12},
-                  now_);
+    view_.replied(take_call().id,
+                  item_listing{{item("one", 10), {"op/evacuate/z", std::string{}, 12}}, false, 12}, now_);
     EXPECT_TRUE(view_.take_change());
     view_.replied(take_call().id, history_lost{}, now_);
     view_.replied(take_call().id, item_listing{{item("one", 10)}, false, 50}, now_);
