Decide in coordination which connections an overloaded entry closes

Cause: front_api chose the connections that are closed and how long early requests wait, so the adapter decided.

Change: connection_shedding holds the first decision, durable_entry says whether the connection of an answer is to be closed, early_limits holds the figures of early requests. The behaviour is the same.

--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/connection_shedding.h"
 #include "coordination/entry_core.h"
 #include "coordination/overload_watch.h"
 #include "daemon/entry_metrics.h"
@@ -57,7 +58,10 @@
     // New connections are welcome: the entry is able to serve, and has not more to do than it carries.
     bool is_ready() const { return core_.is_ready() && !is_overloaded(); }
     bool is_overloaded() const { return overload_.is_overloaded(); }
-    bool is_shutting_down() const { return core_.is_shutting_down(); }
+    // The caller whose answer is sent now is to use another connection from then on.
+    bool wants_to_close_connection() {
+        return core_.is_shutting_down() || shedding_.take_one(is_overloaded(), clock_.now());
+    }
     const entry_core& core() const { return core_; }
     // The metrics as they are now, in the Prometheus text format.
     std::string metrics_text();
@@ -90,6 +94,7 @@
     // Fires at a fixed interval, whatever else there is to do.
     asio::steady_timer load_probe_;
     overload_watch overload_;
+    connection_shedding shedding_;
     std::string own_address_;
     caller_token last_token_ = 0;
     struct open_request {
--- a/daemon/early_requests.cpp
+++ b/daemon/early_requests.cpp
@@ -6,7 +6,7 @@
 namespace persimmonstile {
 
 bool early_requests::hold(const http_request& request, const http_responder& respond, time_point now) {
-    if (waiting_.size() >= most_)
+    if (waiting_.size() >= limits_.most)
         return false;
     waiting_.push_back({request, respond, now});
     return true;
@@ -24,7 +24,7 @@
 
 std::vector<early_request> early_requests::take_expired(time_point now) {
     std::vector<early_request> expired;
-    while (!waiting_.empty() && now - waiting_.front().arrived >= patience_) {
+    while (!waiting_.empty() && now - waiting_.front().arrived >= limits_.patience) {
         expired.push_back(std::move(waiting_.front()));
         waiting_.pop_front();
     }
--- a/daemon/early_requests.h
+++ b/daemon/early_requests.h
@@ -10,6 +10,15 @@
 
 namespace persimmonstile {
 
+// Figures by which requests wait for the first configuration.
+struct early_limits {
+    // A restarted entry has read the configuration some tens of milliseconds after it began to listen; a
+    // longer wait would use up the objective of a caller.
+    milliseconds patience{300};
+    // As many as come in that time on the largest deployment.
+    std::size_t most = 300;
+};
+
 // A request that cannot be judged yet.
 struct early_request {
     http_request request;
@@ -22,10 +31,8 @@
 // later.
 class early_requests {
 public:
-    // patience is the longest wait of a request; at most `most` of them wait.
-    early_requests(milliseconds patience, std::size_t most)
-        : patience_{patience}
-        , most_{most} {}
+    explicit early_requests(const early_limits& limits = {})
+        : limits_{limits} {}
 
     // False if there is no place; the request has to be answered now.
     bool hold(const http_request& request, const http_responder& respond, time_point now);
@@ -38,8 +45,7 @@
     bool is_empty() const { return waiting_.empty(); }
 
 private:
-    milliseconds patience_;
-    std::size_t most_;
+    early_limits limits_;
     std::deque<early_request> waiting_;
 };
 
--- /dev/null
+++ b/tests/connection_shedding_test.cpp
@@ -0,0 +1,30 @@
+#include "coordination/connection_shedding.h"
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against an overloaded entry that sends all callers away at once, which would overload the others.
+TEST(connection_shedding, closes_one_connection_at_a_time) {
+    connection_shedding shedding;
+    time_point now{10s};
+    int closed = 0;
+    for (int i = 0; i < 1000; ++i) {
+        closed += shedding.take_one(true, now) ? 1 : 0;
+        now += 1ms;
+    }
+    EXPECT_EQ(closed, 1000ms / connection_shedding::interval);
+}
+
+// Guards against connections that are closed although the entry carries its load.
+TEST(connection_shedding, closes_none_without_overload) {
+    connection_shedding shedding;
+    EXPECT_FALSE(shedding.take_one(false, time_point{10s}));
+    EXPECT_TRUE(shedding.take_one(true, time_point{10s}));
+}
+
+} // namespace
+} // namespace persimmonstile
--- a/tests/early_requests_test.cpp
+++ b/tests/early_requests_test.cpp
@@ -11,7 +11,7 @@
 
 class early_requests_test : public testing::Test {
 protected:
-    early_requests requests_{300ms, 3};
+    early_requests requests_{{300ms, 3}};
     const time_point begin_{100s};
 
     bool hold(const std::string& path, std::uint64_t connection, time_point now) {
