--- a/cli/explain_job_command.cpp
+++ b/cli/explain_job_command.cpp
@@ -1,6 +1,7 @@
 #include "cli/explain_job_command.h"
 
 #include "cli/job_timeline.h"
+#include "cli/parsed_arguments.h"
 #include "cli/text_table.h"
 
 #include <algorithm>
@@ -35,7 +36,6 @@
     add("files", "more span files", cxxopts::value<std::vector<std::string>>());
     add("slowest", "number of slowest tasks to list", cxxopts::value<std::size_t>(), "N");
     add("json", "print JSON");
-    add("help", "print this help and exit");
     options.parse_positional({"job", "files"});
     return options;
 }
@@ -172,25 +172,12 @@
 
 int run_explain_job(const std::vector<std::string>& args, command_output output) {
     cxxopts::Options options = make_options();
-    std::vector<const char*> words{"explain job"};
-    for (const std::string& arg : args) {
-        words.push_back(arg.c_str());
-    }
-    try {
-        const cxxopts::ParseResult parsed = options.parse(static_cast<int>(words.size()), words.data());
-        if (parsed.count("help") != 0) {
-            output.out << options.help();
-            return exit_done;
-        }
-        if (parsed.count("job") == 0 || parsed.count("traces") == 0) {
-            output.err << "explain job: a job id and --traces FILE... are needed\n";
-            return exit_usage;
-        }
-        return explain(to_request(parsed), output);
-    } catch (const cxxopts::exceptions::exception& error) {
-        output.err << "explain job: " << error.what() << '\n';
-        return exit_usage;
-    }
+    parsed_arguments line;
+    if (const auto code = parse_arguments(options, args, 0, 0, output, line))
+        return *code;
+    if (line.options.count("job") == 0 || line.options.count("traces") == 0)
+        return print_usage_error(options, "a job id and --traces FILE... are needed", output);
+    return explain(to_request(line.options), output);
 }
 
 } // namespace persimmonstile
--- a/cli/explain_request_command.cpp
+++ b/cli/explain_request_command.cpp
@@ -1,6 +1,7 @@
 #include "cli/explain_request_command.h"
 
 #include "cli/log_lines.h"
+#include "cli/parsed_arguments.h"
 #include "cli/text_table.h"
 
 #include <algorithm>
@@ -34,7 +35,6 @@
         "FILE...");
     add("files", "more log files", cxxopts::value<std::vector<std::string>>());
     add("json", "print JSON");
-    add("help", "print this help and exit");
     options.parse_positional({"request", "files"});
     return options;
 }
@@ -115,24 +115,12 @@
 
 int run_explain_request(const std::vector<std::string>& args, command_output output) {
     cxxopts::Options options = make_options();
-    std::vector<const char*> words{"explain request"};
-    for (const std::string& arg : args)
-        words.push_back(arg.c_str());
-    try {
-        const cxxopts::ParseResult parsed = options.parse(static_cast<int>(words.size()), words.data());
-        if (parsed.count("help") != 0) {
-            output.out << options.help();
-            return exit_done;
-        }
-        if (parsed.count("request") == 0 || parsed.count("logs") == 0) {
-            output.err << "explain request: the id of a request and --logs FILE... are needed\n";
-            return exit_usage;
-        }
-        return explain(parsed, output);
-    } catch (const cxxopts::exceptions::exception& error) {
-        output.err << "explain request: " << error.what() << '\n';
-        return exit_usage;
-    }
+    parsed_arguments line;
+    if (const auto code = parse_arguments(options, args, 0, 0, output, line))
+        return *code;
+    if (line.options.count("request") == 0 || line.options.count("logs") == 0)
+        return print_usage_error(options, "the id of a request and --logs FILE... are needed", output);
+    return explain(line.options, output);
 }
 
 } // namespace persimmonstile
