--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/limits.h"
 #include "state/time.h"
 
 #include <algorithm>
@@ -21,6 +22,8 @@
         constexpr milliseconds margin{30};
         return asked_lease() + asked_lease() / 50 + margin;
     }
+    // Callers whose connection broke send their jobs again after this time; a setting of the platform.
+    milliseconds caller_resend = usual_caller_resend;
     // A waiting hold order is answered after this time at the latest. If its answer is lost, the ends of runs
     // are seen this much later, which is a third of the objective of the shortest tasks (156 ms).
     milliseconds hold_wait{60};
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -70,7 +70,8 @@
 bool agent_core::is_present(const incarnation& owner, bool is_kept, time_point now) const {
     const auto found = owners_.find(owner);
     return found != owners_.end() &&
-           now < found->second.heard + (is_kept ? owner_contact_lease : caller_contact_lease);
+           now < found->second.heard +
+                     (is_kept ? owner_contact_lease : caller_contact_lease(limits_.caller_resend));
 }
 
 // Runs of an owner that is away for too long are ended, because a successor that cannot reach this agent
@@ -84,8 +85,9 @@
         if (is_final(record.state) || record.stop_wanted)
             return;
         const bool is_claimed = !record.owner.name.empty();
-        const bool has_owner = is_claimed ? is_present(record.owner, record.is_kept, now)
-                                          : now < record.accepted + caller_contact_lease;
+        const bool has_owner = is_claimed
+                                   ? is_present(record.owner, record.is_kept, now)
+                                   : now < record.accepted + caller_contact_lease(limits_.caller_resend);
         if (!has_owner || now >= record.expires)
             abandoned.push_back(record.run);
     });
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -298,7 +298,9 @@
         for (const auto& [run, start] : runs) {
             const ledger_job* job = ledger_.find(run.task.job);
             const bool is_kept = job != nullptr && job->is_kept();
-            if (now < agent.heard + (is_kept ? owner_contact_lease : caller_contact_lease) + lease)
+            const milliseconds contact =
+                is_kept ? owner_contact_lease : caller_contact_lease(limits_.caller_resend);
+            if (now < agent.heard + contact + lease)
                 continue;
             lose_run(agent, run, now);
             has_lost = true;
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// A configuration has to be in force within 2 s everywhere; a silent connection to the store is noticed
-// within this and the slack of a watch.
-constexpr milliseconds config_watch_wait{1000};
+// A silent connection to the store is noticed within this part of the time in which a configuration has to be
+// in force, and the slack of a watch.
+constexpr int config_watch_divisor = 2;
 
 // A read of one record; the store answers within milliseconds.
 constexpr milliseconds read_timeout{150};
@@ -26,8 +26,8 @@
     , zone_{self.zone}
     , limits_{limits}
     , keeper_{std::move(self), std::move(next_session), seed}
-    , operator_records_{config_prefix, config_watch_wait}
-    , planner_{zone_, seed} {}
+    , operator_records_{config_prefix, limits.config_bound / config_watch_divisor}
+    , planner_{zone_, limits.remote_data_factor, seed} {}
 
 void entry_core::note(std::string_view what, const job_id& job,
                       std::vector<std::pair<std::string_view, decision::value>> inputs, bool is_warning) {
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -15,6 +15,12 @@
         constexpr milliseconds margin{150};
         return longest_run_lease + longest_run_lease / 50 + margin;
     }
+    // Callers whose connection broke send their jobs again after this time; a setting of the platform.
+    milliseconds caller_resend = usual_caller_resend;
+    // A change of the operators has to be in force after this time; a setting of the platform.
+    milliseconds config_bound{2000};
+    // How much longer a task runs on another rack than that of its data; a setting of the platform.
+    double remote_data_factor = 1.5;
     // Ended jobs are remembered for this long; a setting of the platform.
     milliseconds retention{150000};
     // An entry that has not heard of the store for so long does not count as the owner of its jobs any more.
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -24,9 +24,6 @@
 // A backend server where this task ended badly is the last choice.
 constexpr double avoided_factor = 4;
 
-// A task runs longer on another rack than that of its data.
-constexpr double remote_data_factor = 1.5;
-
 // A job ends with its longest task, which takes longer than the expected one by about this factor: tasks of a
 // step differ, and a step has a few of them.
 constexpr double longest_task_factor = 1.3;
@@ -160,7 +157,7 @@
         double cost = seconds * agent->slowness.value_or(1.0) * jitter(random_) *
                       (1 + used_room_weight * used_part(*agent));
         if (!step.data_rack.empty() && step.data_rack != agent->profile.backend.rack)
-            cost *= remote_data_factor;
+            cost *= remote_data_factor_;
         if (std::find(state.avoided.begin(), state.avoided.end(), agent->number) != state.avoided.end())
             cost *= avoided_factor;
         cost += local_way_seconds + (agent->profile.zone == zone_ ? 0 : remote_way_seconds);
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -33,8 +33,10 @@
 // each task the backend server that is expected to finish it first.
 class run_planner {
 public:
-    run_planner(std::string zone, std::uint64_t seed)
+    // A task runs longer by remote_data_factor on another rack than that of its data.
+    run_planner(std::string zone, double remote_data_factor, std::uint64_t seed)
         : zone_{std::move(zone)}
+        , remote_data_factor_{remote_data_factor}
         , random_{seed} {}
 
     // Places what can be placed now. The needs of placed tasks are taken from the agents' room by the caller.
@@ -58,6 +60,7 @@
     double used_part(const agent_view& agent) const;
 
     std::string zone_;
+    double remote_data_factor_;
     std::mt19937_64 random_;
     // Room of the usable agents while a plan is made.
     std::map<agent_number, resources> room_;
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -60,6 +60,12 @@
     std::uint32_t peer_port = 0;
     // Longest lease that a backend server grants.
     std::uint32_t longest_run_lease_ms = 1000;
+    // Callers whose connection broke send their jobs again after this time.
+    std::uint32_t caller_resend_ms = 1300;
+    // A change of the operators has to be in force after this time.
+    std::uint32_t config_bound_ms = 2000;
+    // How much longer a task runs on another rack than that of its data.
+    double remote_data_factor = 1.5;
     // Ended jobs are remembered for this long.
     std::uint32_t retention_s = 120;
     // A process that was asked to end is killed after this time.
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -63,6 +63,12 @@
                   "description": "the port at which all entries listen for peers"},
     "longest_run_lease_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
                              "description": "an integer from 100 to 600000"},
+    "caller_resend_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+                         "description": "an integer from 100 to 600000"},
+    "config_bound_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+                        "description": "an integer from 100 to 600000"},
+    "remote_data_factor": {"type": "number", "minimum": 1, "maximum": 100,
+                           "description": "a number from 1 to 100"},
     "retention_s": {"type": "integer", "minimum": 1, "maximum": 86400,
                     "description": "an integer from 1 to 86400"},
     "grace_s": {"type": "integer", "minimum": 1, "maximum": 3600, "description": "an integer from 1 to 3600"},
@@ -97,6 +103,16 @@
     return number;
 }
 
+// Text that is no number stays a string, which the schema then reports.
+json number_from(const std::string& text) {
+    double number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return text;
+    }
+    return number;
+}
+
 json override_value(const settings_override& item) {
     const json& properties = schema().at("properties");
     const std::string type =
@@ -104,6 +120,9 @@
     if (type == "array") {
         return list_from(item.text);
     }
+    if (type == "number") {
+        return number_from(item.text);
+    }
     return type == "integer" ? integer_from(item.text) : json(item.text);
 }
 
@@ -245,6 +264,9 @@
     read_member(document, "seeds", settings.seeds);
     read_member(document, "peer_port", settings.peer_port);
     read_member(document, "longest_run_lease_ms", settings.longest_run_lease_ms);
+    read_member(document, "caller_resend_ms", settings.caller_resend_ms);
+    read_member(document, "config_bound_ms", settings.config_bound_ms);
+    read_member(document, "remote_data_factor", settings.remote_data_factor);
     read_member(document, "retention_s", settings.retention_s);
     read_member(document, "grace_s", settings.grace_s);
     return settings;
--- a/state/limits.h
+++ b/state/limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -28,9 +29,18 @@
 // it.
 constexpr std::chrono::milliseconds owner_contact_lease{1800};
 
-// The same for jobs that live with their caller's call. A caller whose connection broke sends the job
-// again 1.3 s later at the earliest, and by then the runs must have ended.
-constexpr std::chrono::milliseconds caller_contact_lease{900};
+// A caller whose connection broke sends its job again after this time at the earliest, unless the settings
+// name another.
+constexpr std::chrono::milliseconds usual_caller_resend{1300};
+
+// The same as owner_contact_lease for jobs that live with their caller's call. When the job comes again the
+// runs must have ended: a stop that is lost twice, its execution, and the ways in between are allowed for.
+// Below the shortest value an entry that is busy for a moment would lose its runs.
+constexpr std::chrono::milliseconds caller_contact_lease(std::chrono::milliseconds caller_resend) {
+    constexpr std::chrono::milliseconds end_of_runs{400};
+    constexpr std::chrono::milliseconds shortest{400};
+    return std::max(caller_resend - end_of_runs, shortest);
+}
 
 // An agent that cannot be reached for this long is given up: its tasks have an unknown outcome.
 constexpr std::chrono::milliseconds agent_loss_timeout{5000};
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -11,6 +11,7 @@
 namespace persimmonstile {
 namespace {
 
+constexpr milliseconds call_lease = caller_contact_lease(usual_caller_resend);
 constexpr link_number entry_link = 1;
 constexpr std::int64_t task_millicores = 3000;
 
@@ -360,7 +361,7 @@
     send_starts(1, false);
     answer(*take_order<start_order>(), backend_verdict::accepted);
     agent_.link_closed(entry_link, now_);
-    pass(caller_contact_lease - milliseconds{10});
+    pass(call_lease - milliseconds{10});
     EXPECT_FALSE(take_order<stop_order>());
     pass(milliseconds{20});
     EXPECT_TRUE(take_order<stop_order>());
@@ -371,9 +372,9 @@
     send_starts(1, true);
     answer(*take_order<start_order>(), backend_verdict::accepted);
     agent_.link_closed(entry_link, now_);
-    pass(caller_contact_lease + milliseconds{50});
+    pass(call_lease + milliseconds{50});
     EXPECT_FALSE(take_order<stop_order>());
-    pass(owner_contact_lease - caller_contact_lease);
+    pass(owner_contact_lease - call_lease);
     EXPECT_TRUE(take_order<stop_order>());
 }
 
@@ -392,7 +393,7 @@
 // Guards against orders that lay in a connection while the entry was given up.
 TEST_F(agent_core_test, refuses_orders_of_an_entry_that_it_has_not_heard_from) {
     prepare();
-    pass(caller_contact_lease + milliseconds{10});
+    pass(call_lease + milliseconds{10});
     send_starts(1, false);
     ASSERT_TRUE(last_report(run_of(0)));
     EXPECT_EQ(last_report(run_of(0))->reason, run_refusal::owner_silent);
@@ -600,7 +601,7 @@
     connect();
     announce(profile());
     answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, "found"), {}, 50}});
-    pass(caller_contact_lease + milliseconds{20});
+    pass(call_lease + milliseconds{20});
     EXPECT_TRUE(take_order<stop_order>());
 }
 
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -13,6 +13,7 @@
 namespace persimmonstile {
 namespace {
 
+constexpr milliseconds call_lease = caller_contact_lease(usual_caller_resend);
 constexpr link_number agent_link = 11;
 constexpr std::int64_t task_millicores = 3000;
 
@@ -499,7 +500,7 @@
     EXPECT_EQ(take_starts().size(), 1U);
     entry_.link_closed(agent_link);
     connect_agent(12, "other");
-    const milliseconds bound = caller_contact_lease + entry_limits{}.run_lease_bound();
+    const milliseconds bound = call_lease + entry_limits{}.run_lease_bound();
     pass(bound - milliseconds{50});
     EXPECT_TRUE(take_starts(12).empty());
     pass(milliseconds{100});
