--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,4 +3,4 @@
 # argument and the number of parallel jobs as the second.
 set -eu
 git ls-files 'state/*.cpp' 'coordination/*.cpp' 'protocol/*.cpp' 'transport/*.cpp' 'standins/*.cpp' \
-    'daemon/*.cpp' 'cli/*.cpp' 'platform/*.cpp' | xargs -P "$2" -n 1 clang-tidy --quiet -p "$1"
+    'daemon/*.cpp' 'cli/*.cpp' 'platform/*.cpp' 'soak/*.cpp' | xargs -P "$2" -n 1 clang-tidy --quiet -p "$1"
