Count an acknowledged end only if the lease has not run out since

The logs show that the agent had been cut off from its backend server for 2.4 s, or killed for 1.4 s: the lease had run out, the agent had given the runs up, and what it acknowledged later meant nothing to anybody. The platform's rules allow that: an end is taken note of only if the lease has not run out between the two. The stand-in for random histories (dispatch_world) knew it, the soak did not.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -145,7 +145,6 @@
         for (std::size_t i = 0; i < world_.backend_count(); ++i) {
             const order_server& server = world_.backend(i);
             const backend_profile& profile = server.backend().profile();
-            check_.ends_acknowledged(profile, server.backend().acknowledged());
             if (server.is_drain_known())
                 check_.drain_acknowledged(profile.id, clock_.now());
         }
--- a/soak/promise_check.cpp
+++ b/soak/promise_check.cpp
@@ -94,15 +94,17 @@
 
 void promise_check::run_event(const backend_profile& backend, const order_backend::event& event,
                               bool is_late) {
-    backend_record& record = backends_[backend.id];
-    if (record.life != backend.life) {
-        record.life = backend.life;
-        record.ends.clear();
-    }
-    if (event.what == order_backend::event::kind::started)
+    switch (event.what) {
+    case order_backend::event::kind::started:
         started(backend, event.run, event.at, is_late);
-    else
+        return;
+    case order_backend::event::kind::ended:
         ended(backend, event);
+        return;
+    case order_backend::event::kind::noted:
+        noted(event);
+        return;
+    }
 }
 
 void promise_check::started(const backend_profile& backend, const run_ref& run, time_point now,
@@ -169,22 +171,17 @@
     task.active.erase({backend.id, event.run.run});
     task.done += event.how == run_state::done ? 1 : 0;
     task.failed += event.how == run_state::failed ? 1 : 0;
-    if (event.end_number != 0)
-        room.ends[event.end_number] = {event.run.task.job, key, event.how};
 }
 
-void promise_check::ends_acknowledged(const backend_profile& backend, std::uint64_t number) {
-    backend_record& record = backends_[backend.id];
-    if (record.life != backend.life)
+void promise_check::noted(const order_backend::event& event) {
+    const auto found = jobs_.find(event.run.task.job);
+    if (found == jobs_.end())
         return;
-    while (!record.ends.empty() && record.ends.begin()->first <= number) {
-        const open_end& end = record.ends.begin()->second;
-        if (end.how == run_state::done)
-            jobs_[end.job].tasks[end.task].is_done_acknowledged = true;
-        if (end.how == run_state::failed)
-            ++jobs_[end.job].tasks[end.task].acknowledged_failures;
-        record.ends.erase(record.ends.begin());
-    }
+    task_record& task = found->second.tasks[{event.run.task.step, event.run.task.index}];
+    if (event.how == run_state::done)
+        task.is_done_acknowledged = true;
+    if (event.how == run_state::failed)
+        ++task.acknowledged_failures;
 }
 
 void promise_check::drain_acknowledged(const std::string& backend, time_point now) {
--- a/soak/promise_check.h
+++ b/soak/promise_check.h
@@ -54,8 +54,6 @@
 
     // Backend servers. is_late: the order was carried out long after it was sent.
     void run_event(const backend_profile& backend, const order_backend::event& event, bool is_late);
-    // Ends up to this number were acknowledged in the life of the backend server.
-    void ends_acknowledged(const backend_profile& backend, std::uint64_t number);
     void drain_acknowledged(const std::string& backend, time_point now);
     // The backend server serves again, or its zone does.
     void drain_ended(const std::string& backend) { draining_.erase(backend); }
@@ -96,22 +94,14 @@
         std::optional<time_point> cancelled;
     };
 
-    // An end that was listed and is not acknowledged.
-    struct open_end {
-        job_id job;
-        std::pair<std::uint32_t, task_index> task;
-        run_state how = run_state::lapsed;
-    };
-
     struct backend_record {
-        std::uint64_t life = 0;
         std::map<run_ref, std::int64_t> millicores;
         std::int64_t used = 0;
-        std::map<std::uint64_t, open_end> ends;
     };
 
     void started(const backend_profile& backend, const run_ref& run, time_point now, bool is_late);
     void ended(const backend_profile& backend, const order_backend::event& event);
+    void noted(const order_backend::event& event);
     void check_bounds(const backend_profile& backend, const job_record& job, const std::string& name,
                       time_point now);
     bool is_calm(time_point now) const;
