Offer found runs again before an agent answers a successor

The logs show the order: the restarted agent finds the run at 44.797 s and offers it to all entries; the restarted entry reads its jobs at 44.828, and tells the agent that the former session is deposed; the agent answers with its list of that session's runs, which is empty, because a found run has no owner; the entry takes all runs of the former session for known and places the task at 44.832. The next offer would have come 1 s after the first.

Ruled out: a lapsed lease (the agent renewed it), an unsettled agent (it waits for its backend server's lists before it answers).

Change: before that answer the agent offers what it has found once more, as it does when it introduces itself. Messages of one connection keep their order, so the successor claims the run before it concludes anything.

Test: offers_found_runs_before_it_answers_a_successor fails without the change.

--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -173,9 +173,12 @@
         record.owner = message.successor;
         inventory.reports.push_back(report_of(record, now));
     });
-    // Without the lists of the backend server the successor would take what runs for not started.
-    if (are_owners_told_)
-        output_.messages.emplace_back(link, std::move(inventory));
+    // Without the lists of the backend server the successor would take what runs for not started. Found runs
+    // come first: when they were offered before, the successor may not have known their jobs yet.
+    if (!are_owners_told_)
+        return;
+    send_inventory(link, {}, now);
+    output_.messages.emplace_back(link, std::move(inventory));
 }
 
 void agent_core::receive(link_number, const claim_runs& message, time_point now) {
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -596,6 +596,31 @@
     EXPECT_EQ(owners[0], "0");
 }
 
+// Guards against a successor that places the tasks of a found run again: its first offer came before the
+// successor knew the job, so the run is offered once more before the agent says what it knows of the former
+// owner. Seen in the soak (seed 131), where all processes were killed.
+TEST_F(agent_core_test, offers_found_runs_before_it_answers_a_successor) {
+    connect();
+    announce(profile());
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, "found"), {}, 50}});
+    messages_.clear();
+    const incarnation former{"entry", 3};
+    agent_.received(entry_link, owner_succession{former, session_}, now_);
+    collect();
+    bool is_offered = false;
+    bool is_answered = false;
+    for (const work_message& message : messages_) {
+        const auto* inventory = std::get_if<run_inventory>(&message);
+        if (inventory == nullptr)
+            continue;
+        if (inventory->owner.name.empty() && !inventory->reports.empty())
+            is_offered = inventory->reports[0].run == run_of(0, "found") && !is_answered;
+        is_answered = is_answered || inventory->owner == former;
+    }
+    EXPECT_TRUE(is_offered);
+    EXPECT_TRUE(is_answered);
+}
+
 // Guards against found runs that nobody claims and that would block the backend server.
 TEST_F(agent_core_test, ends_found_runs_that_nobody_claims) {
     connect();
