Log the course of each job that is refused, late, failed or dropped in one line

Cause: of the failed requests of a rush few could be explained from the log: lines with the same text are limited to 50 a second, an entry makes several for each of up to 250 jobs a second, and the lines of a failed job are left out like all others.

Change: one warning tells what became of such a job: time to the first placement and in all, tasks, runs, failures, and the reason. Jobs that end as their callers want keep their line at level info. 250 lines a second of a kind are written.

Tests: logs_the_course_of_a_job_that_ends_late and logs_the_course_of_a_job_that_is_refused fail without the change.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -1,4 +1,5 @@
 #include "coordination/entry_core.h"
+#include "coordination/job_course.h"
 #include "coordination/queue_router.h"
 
 #include <algorithm>
@@ -100,22 +101,35 @@
     const job_id id = job.id;
     job.state = state;
     stop_runs_of(job);
-    note("job ended", id,
-         {{"state", std::string{to_string(state)}},
-          {"queue", job.record->queue},
-          {"total_us", std::chrono::duration_cast<microseconds>(now - job.accepted).count()}});
+    note_end(job, now);
     acknowledge_all(job);
     ended_.add(id, {state, false}, now);
     answer_waiting(id, state);
     ledger_.erase(id);
 }
 
+// The line of a job that ends as its caller wants is short, and there are many of them.
+void entry_core::note_end(const ledger_job& job, time_point now) {
+    auto inputs = course_of(job, now);
+    inputs.emplace_back("state", std::string{to_string(job.state)});
+    if (job.is_kept())
+        inputs.emplace_back("record_us", std::chrono::duration_cast<microseconds>(now - job.ended).count());
+    const queue_policy* queue = config_ ? find_queue_named(*config_, job.record->queue) : nullptr;
+    const time_point in_time = times_.target_of(job, queue).in_time;
+    if (job.state == job_state::failed)
+        note("job failed", job.id, std::move(inputs), true);
+    else if (job.state == job_state::completed && now > in_time)
+        note("job ended late", job.id, std::move(inputs), true);
+    else
+        note("job ended", job.id, std::move(inputs));
+}
+
 // Nobody waits for the job any more.
-void entry_core::drop_unkept(const job_id& id) {
+void entry_core::drop_unkept(const job_id& id, time_point now) {
     ledger_job* job = ledger_.find(id);
     if (job == nullptr || job->is_kept())
         return;
-    note("dropped a job whose callers have left", id, {{"queue", job->record->queue}}, true);
+    note("dropped a job whose callers have left", id, course_of(*job, now), true);
     stop_runs_of(*job);
     acknowledge_all(*job);
     ledger_.erase(id);
@@ -126,14 +140,12 @@
 // Given up while none of its tasks was given to an agent, so it is true that the job has not run. Its callers
 // hear so at once and may come back.
 void entry_core::refuse_waiting(ledger_job& job, std::string_view reason, time_point now) {
-    if (job.is_kept() || job.is_placed)
+    if (job.is_kept() || job.first_placed)
         return;
     const job_id id = job.id;
-    note("refused a job that found no room", id,
-         {{"queue", job.record->queue},
-          {"reason", std::string{reason}},
-          {"waited_us", std::chrono::duration_cast<microseconds>(now - job.accepted).count()}},
-         true);
+    auto inputs = course_of(job, now);
+    inputs.emplace_back("reason", std::string{reason});
+    note("refused a job that found no room", id, std::move(inputs), true);
     ledger_.erase(id);
     for (const waiting_caller& caller : ending_.take(id))
         output_.replies.push_back({caller.token, caller_reply_kind::refused, job_state::unknown,
@@ -148,23 +160,23 @@
     }
     for (const job_id& id : expired) {
         ledger_job& job = *ledger_.find(id);
-        if (!job.is_placed) {
+        if (!job.first_placed) {
             refuse_waiting(job, "caller's time is over", now);
             continue;
         }
         // Runs may have started, so only this is true.
         for (const waiting_caller& caller : ending_.take(id))
             reply(caller.token, caller_reply_kind::uncertain);
-        drop_unkept(id);
+        drop_unkept(id, now);
     }
 }
 
-void entry_core::caller_left(caller_token token) {
+void entry_core::caller_left(caller_token token, time_point now) {
     if (accepting_.remove(token))
         return;
     const std::optional<job_id> job = ending_.remove(token);
     if (job && !ending_.has_callers(*job))
-        drop_unkept(*job);
+        drop_unkept(*job, now);
 }
 
 // The end of the job is certain.
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -51,7 +51,7 @@
     void cancel(caller_token token, const job_id& job, time_point answer_by, time_point now, wall_time wall);
     // The caller's connection is gone. It gets no reply, and a job that is not kept ends with its last
     // caller.
-    void caller_left(caller_token token);
+    void caller_left(caller_token token, time_point now);
     // Jobs of the queue that were accepted and have not begun, at all entries.
     std::uint64_t pending(const std::string& queue) const;
 
@@ -126,7 +126,8 @@
     void stop_runs_of(const ledger_job& job);
     void submit_unkept(const job_submission& request, const queue_policy& queue, time_point now);
     void finish_unkept(ledger_job& job, job_state state, time_point now);
-    void drop_unkept(const job_id& id);
+    void note_end(const ledger_job& job, time_point now);
+    void drop_unkept(const job_id& id, time_point now);
     void drop_expired(time_point now);
     // The job waits for its first room; one that is kept or was placed is left as it is.
     void refuse_waiting(ledger_job& job, std::string_view reason, time_point now);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -148,11 +148,7 @@
     ledger_job* job = ledger_.find(id);
     if (job == nullptr)
         return;
-    note("job ended", id,
-         {{"state", std::string{to_string(job->state)}},
-          {"queue", job->record->queue},
-          {"total_us", std::chrono::duration_cast<microseconds>(now - job->accepted).count()},
-          {"record_us", std::chrono::duration_cast<microseconds>(now - job->ended).count()}});
+    note_end(*job, now);
     measure(entry_timing::record, now - job->ended);
     acknowledge_all(*job);
     ended_.add(id, {job->state, true}, now);
@@ -194,8 +190,8 @@
     for (const planned_run& planned : plan) {
         ledger_job& job = *ledger_.find(planned.task.job);
         ledger_task& task = *job_ledger::find_task(job, planned.task);
-        if (!job.is_placed) {
-            job.is_placed = true;
+        if (!job.first_placed) {
+            job.first_placed = now;
             measure(entry_timing::queue, now - job.accepted);
         }
         task.run = std::max(task.run, job.run_base) + 1;
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace persimmonstile {
@@ -52,8 +53,8 @@
     bool is_settled = true;
     // Final once the end was decided.
     job_state state = job_state::queued;
-    // A task was given to an agent, so the job may have begun.
-    bool is_placed = false;
+    // When a task was first given to an agent; the job may have begun since.
+    std::optional<time_point> first_placed;
     // A task has started.
     bool has_begun = false;
     std::map<std::uint32_t, ledger_occurrence> occurrences;
--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -197,7 +197,7 @@
 
 void durable_entry::caller_left(caller_token token) {
     replies_.erase(token);
-    run([&] { core_.caller_left(token); });
+    run([&] { core_.caller_left(token, clock_.now()); });
 }
 
 void durable_entry::ask_state(const job_id& job, time_point answer_by, reply_handler on_reply) {
--- a/tests/dispatch_world.h
+++ b/tests/dispatch_world.h
@@ -845,7 +845,8 @@
             const open_call call = found->second;
             calls_.erase(found);
             note("caller of " + name + " loses patience");
-            deliver_call(call.entry, call.life, [token](entry_core& core) { core.caller_left(token); });
+            deliver_call(call.entry, call.life,
+                         [this, token](entry_core& core) { core.caller_left(token, now_); });
             resend(name);
         });
     }
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -31,6 +31,7 @@
     std::vector<store_request> calls_;
     std::vector<std::pair<link_number, work_message>> messages_;
     std::vector<caller_reply> replies_;
+    std::vector<decision> decisions_;
     caller_token last_token_ = 0;
     std::uint64_t starts_seen_ = 0;
 
@@ -47,6 +48,16 @@
         std::move(output.store_calls.begin(), output.store_calls.end(), std::back_inserter(calls_));
         std::move(output.messages.begin(), output.messages.end(), std::back_inserter(messages_));
         std::move(output.replies.begin(), output.replies.end(), std::back_inserter(replies_));
+        std::move(output.decisions.begin(), output.decisions.end(), std::back_inserter(decisions_));
+    }
+
+    // Inputs of the newest decision of this kind; empty if there was none.
+    std::map<std::string, decision::value> inputs_of(std::string_view what) const {
+        const auto found = std::find_if(decisions_.rbegin(), decisions_.rend(),
+                                        [&](const decision& made) { return made.what == what; });
+        if (found == decisions_.rend())
+            return {};
+        return {found->inputs.begin(), found->inputs.end()};
     }
 
     // Answers all calls to the store but watches, until none is left. Those for which is_held is true stay
@@ -230,10 +241,10 @@
     const caller_token first = submit(job("a", false));
     const caller_token second = submit(job("a", false));
     take_starts();
-    entry_.caller_left(first);
+    entry_.caller_left(first, now_);
     collect();
     EXPECT_TRUE(take_messages<stop_runs>().empty());
-    entry_.caller_left(second);
+    entry_.caller_left(second, now_);
     collect();
     const std::vector<stop_runs> stops = take_messages<stop_runs>();
     ASSERT_EQ(stops.size(), 1U);
@@ -295,6 +306,44 @@
     EXPECT_EQ(take_messages<stop_runs>().size(), 1U);
 }
 
+// Guards against a late answer that the log does not explain: its line has the wait for room, the runs and
+// the failures.
+TEST_F(entry_core_test, logs_the_course_of_a_job_that_ends_late) {
+    prepare();
+    const caller_token token = submit(job("a", false, 1));
+    pass(milliseconds{80});
+    connect_agent();
+    std::vector<run_ref> runs = take_starts();
+    ASSERT_EQ(runs.size(), 1U);
+    pass(milliseconds{100});
+    report(report_of(runs[0], run_state::failed));
+    runs = take_starts();
+    ASSERT_EQ(runs.size(), 1U);
+    pass(milliseconds{100});
+    report(report_of(runs[0], run_state::done));
+    ASSERT_TRUE(reply_to(token));
+    EXPECT_TRUE(inputs_of("job ended").empty());
+    auto inputs = inputs_of("job ended late");
+    EXPECT_EQ(inputs["placed_us"], decision::value{std::int64_t{81000}});
+    EXPECT_EQ(inputs["total_us"], decision::value{std::int64_t{281000}});
+    EXPECT_EQ(inputs["runs"], decision::value{std::int64_t{2}});
+    EXPECT_EQ(inputs["failures"], decision::value{std::int64_t{1}});
+    EXPECT_EQ(inputs["done"], decision::value{std::int64_t{1}});
+}
+
+// Guards against a refusal whose line does not say that the job was never placed.
+TEST_F(entry_core_test, logs_the_course_of_a_job_that_is_refused) {
+    prepare();
+    submit(job("a", false));
+    pass(milliseconds{570});
+    auto inputs = inputs_of("refused a job that found no room");
+    EXPECT_EQ(inputs["reason"], decision::value{std::string{"cannot end in time"}});
+    EXPECT_EQ(inputs["total_us"], decision::value{std::int64_t{570000}});
+    EXPECT_EQ(inputs["tasks"], decision::value{std::int64_t{2}});
+    EXPECT_EQ(inputs["runs"], decision::value{std::int64_t{0}});
+    EXPECT_FALSE(inputs.contains("placed_us"));
+}
+
 // Guards against a job that fails because of one bad backend server, and against one that is tried for ever.
 TEST_F(entry_core_test, tries_a_failed_task_again_and_fails_the_job_after_its_attempts) {
     prepare();
--- a/tests/load_world.h
+++ b/tests/load_world.h
@@ -466,7 +466,7 @@
             ++outcomes_[found->second.queue].unanswered;
             calls_.erase(found);
             handle(*entries_[entry], options_.entry_cost, [this, entry, token] {
-                entries_[entry]->core->caller_left(token);
+                entries_[entry]->core->caller_left(token, now_);
                 flush(*entries_[entry]);
             });
         });
--- a/transport/repeat_limiter.h
+++ b/transport/repeat_limiter.h
@@ -12,9 +12,9 @@
 // Bounds how often equal log lines are written: at most max_lines for each key in one window. Thread-safe.
 class repeat_limiter {
 public:
-    // More than the failures a second that an operator can follow one by one, and little enough that all
-    // kinds together cost a daemon with a tenth of a core less than a hundredth of it.
-    static constexpr std::uint32_t max_lines = 50;
+    // The jobs that an entry of the largest deployment gets in a second of a rush, so that the line of each
+    // failed one is there.
+    static constexpr std::uint32_t max_lines = 250;
     static constexpr std::chrono::seconds window{1};
 
     // Nothing if the line must be left out; otherwise how many lines of this key were left out since the last
