Place adopted jobs only when the runs of all their former owners are known

The log of the entry names two former sessions: the first accepted the jobs, the second adopted them, started the runs, and died. All agents had answered about the first session 0.2 ms before they answered about the second, and the jobs of the first were placed in between.

Ruled out: found runs (the agent had not been restarted since), a lapsed lease.

Change: a succession counts as settled only when those with a smaller depth are, also those whose jobs are still being read; sessions of one chain are adopted together, with one write. An agent's answer to a successor contains all runs that are the successor's by then, because it may have dropped what it was told before it had read the jobs.

Tests, both fail without the change: places_nothing_before_the_runs_of_all_former_owners_are_known, tells_a_successor_all_its_runs_with_each_former_owner.

--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -167,11 +167,13 @@
     run_inventory inventory;
     inventory.owner = message.former;
     inventory.starts_seen = links_[link].starts_seen;
+    // Those that the successor has already are told again: jobs of this former session may be among them,
+    // which another session adopted in between.
     runs_.for_each([&](run_record& record) {
-        if (record.owner != message.former)
-            return;
-        record.owner = message.successor;
-        inventory.reports.push_back(report_of(record, now));
+        if (record.owner == message.former)
+            record.owner = message.successor;
+        if (record.owner == message.successor)
+            inventory.reports.push_back(report_of(record, now));
     });
     // Without the lists of the backend server the successor would take what runs for not started. Found runs
     // come first: when they were offered before, the successor may not have known their jobs yet.
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -155,6 +155,7 @@
     // Sessions.
     void keep_sessions(time_point now);
     void take_adopted(time_point now);
+    bool may_settle(const succession& state, time_point now) const;
     void settle_successions(time_point now);
     void confirm(const std::string& agent, const incarnation& former);
     void session_lost(time_point now);
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -108,11 +108,23 @@
         found->second.unanswered.erase(agent);
 }
 
+// A session that adopted the jobs meanwhile, and is adopted itself, may have started runs of them; its depth
+// is smaller, and all of them are adopted together.
+bool entry_core::may_settle(const succession& state, time_point now) const {
+    const bool is_waiting = std::any_of(successions_.begin(), successions_.end(), [&](const auto& other) {
+        return !other.second.is_settled && other.second.record.depth < state.record.depth;
+    });
+    return !is_waiting && !keeper_.is_adopting_below(state.record.depth) &&
+           (state.unanswered.empty() || now >= state.certain_at);
+}
+
 void entry_core::settle_successions(time_point now) {
     for (auto it = successions_.begin(); it != successions_.end();) {
         succession& state = it->second;
-        if (!state.is_settled && (state.unanswered.empty() || now >= state.certain_at)) {
+        if (!state.is_settled && may_settle(state, now)) {
             state.is_settled = true;
+            // Others may have waited for this one.
+            is_upkeep_needed_ = true;
             note("runs of a former session are settled", {},
                  {{"former", session_text(it->first)},
                   {"unanswered", static_cast<std::int64_t>(state.unanswered.size())}});
--- a/coordination/session_keeper.cpp
+++ b/coordination/session_keeper.cpp
@@ -385,6 +385,11 @@
     pending_.erase(found);
 }
 
+bool session_keeper::is_adopting_below(std::uint32_t depth) const {
+    return std::any_of(pending_.begin(), pending_.end(),
+                       [&](const auto& entry) { return entry.second.result.record.depth < depth; });
+}
+
 void session_keeper::adoption_done(const incarnation& former, time_point now) {
     const auto found = members_.adoptions().find(former);
     if (phase_ != phase::active || found == members_.adoptions().end() ||
--- a/coordination/session_keeper.h
+++ b/coordination/session_keeper.h
@@ -51,6 +51,8 @@
 
     // Records agents that are connected and not in the directory.
     void need_agents(const std::vector<member_agent>& agents, time_point now);
+    // Jobs of a former session whose succession has a smaller depth are still being read.
+    bool is_adopting_below(std::uint32_t depth) const;
     // The jobs of an adopted session have all ended; its record is not needed any more.
     void adoption_done(const incarnation& former, time_point now);
 
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -621,6 +621,29 @@
     EXPECT_TRUE(is_answered);
 }
 
+// Guards against a successor that does not hear of a run because the jobs of its owner were not read yet when
+// the run was told first.
+TEST_F(agent_core_test, tells_a_successor_all_its_runs_with_each_former_owner) {
+    prepare();
+    const incarnation former = session_;
+    send_starts(1, true);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    const incarnation successor{"entry", 9};
+    agent_.received(entry_link, owner_succession{former, successor}, now_);
+    collect();
+    messages_.clear();
+    const incarnation earlier{"entry", 3};
+    agent_.received(entry_link, owner_succession{earlier, successor}, now_);
+    collect();
+    bool is_told = false;
+    for (const work_message& message : messages_) {
+        const auto* inventory = std::get_if<run_inventory>(&message);
+        if (inventory != nullptr && inventory->owner == earlier)
+            is_told = inventory->reports.size() == 1 && inventory->reports[0].run == run_of(0);
+    }
+    EXPECT_TRUE(is_told);
+}
+
 // Guards against found runs that nobody claims and that would block the backend server.
 TEST_F(agent_core_test, ends_found_runs_that_nobody_claims) {
     connect();
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -663,6 +663,38 @@
     EXPECT_EQ(entry_.open_jobs(), 1U);
 }
 
+// Guards against a task that is placed while a run goes on that an owner in between has started. Seen in the
+// soak with seed 146: the agent's answer about the first owner came before that about the second, whose run
+// it was.
+TEST_F(adoption_test, places_nothing_before_the_runs_of_all_former_owners_are_known) {
+    const incarnation second{"entry", 51};
+    member_entry record = self();
+    record.session = second;
+    store_.put(entry_key("entry"), record);
+    store_.put(adopted_key(former_), adoption{former_, second, 1});
+    store_.put(agent_key("agent"), member_agent{"zone"});
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.attempts = 2;
+    open.plan = job("a", true, 1).plan;
+    store_.put(open_key(former_, "a"), open);
+    prepare();
+    connect_agent();
+    ASSERT_EQ(entry_.open_jobs(), 1U);
+    entry_.received(agent_link, run_inventory{former_, {}, 0}, now_, wall_);
+    pass(milliseconds{1});
+    EXPECT_TRUE(take_starts().empty());
+    const run_ref run{{"a", 0, 0, 0}, 1000001};
+    entry_.received(agent_link, run_inventory{second, {report_of(run, run_state::running)}, 0}, now_, wall_);
+    pass(milliseconds{1});
+    EXPECT_TRUE(take_starts().empty());
+    run_report lapsed = report_of(run, run_state::lapsed);
+    report(lapsed);
+    pass(milliseconds{1});
+    EXPECT_EQ(take_starts().size(), 1U);
+}
+
 // Guards against calls that an ending entry accepts and cannot answer any more, and against other entries
 // that forget it while it still serves.
 TEST_F(entry_core_test, serves_on_after_the_signal_and_leaves_when_it_refuses) {
