--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -108,7 +108,8 @@
     ledger_.erase(id);
 }
 
-// The line of a job that ends as its caller wants is short, and there are many of them.
+// Failed and late jobs have texts of their own, so that the limit on equal lines does not leave theirs out
+// among those of the others.
 void entry_core::note_end(const ledger_job& job, time_point now) {
     auto inputs = course_of(job, now);
     inputs.emplace_back("state", std::string{to_string(job.state)});
--- a/coordination/late_job_patience.cpp
+++ b/coordination/late_job_patience.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Late jobs are passed over for so long before they are refused: the objective of the shortest jobs, so that
-// their callers hear of a refusal within about twice of it.
+// Late jobs are passed over for so long before they are refused: about twice the objective of the shortest
+// jobs (156 ms), so that short bursts, after which they can still be served, refuse hardly any.
 constexpr milliseconds patience{300};
 
 // Runs of others that must have begun meanwhile; fewer can be chance, or show a stall.
