--- a/transport/frame_connection.h
+++ b/transport/frame_connection.h
@@ -64,7 +64,7 @@
     close_handler on_close_;
 
     // Touched on the strand only.
-    std::array<char, read_chunk> chunk_;
+    std::array<char, read_chunk> chunk_{};
     // Begin of a frame whose rest has not arrived.
     std::string incoming_;
     std::string writing_;
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -56,7 +56,7 @@
     close_handler on_close_;
     answer_handler on_answer_;
     std::string request_;
-    std::array<char, chunk_size> chunk_;
+    std::array<char, chunk_size> chunk_{};
     http_parser parser_{};
     http_answer answer_;
     bool is_open_ = false;
