Adopt sessions whose successor was itself adopted

Cause: entry A adopts a session while entry B adopts A. B's write lists the adoptions that B knows, and A's newest one is not among them. Its jobs then had a successor that no longer existed, and never ended.

Change: an entry adopts every session whose successor it has adopted, and keeps the record of an adoption while another one refers to it.

--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -281,6 +281,7 @@
         pending_adoptions_[former].result.record = state.record;
         pending_adoptions_[former].result.may_be_running = true;
     }
+    adopt_inherited_sessions(now);
     // Number of live entries whose names sort before this entry's name.
     std::uint64_t position = 0;
     for (const auto& [name, state] : members_.entries()) {
@@ -306,6 +307,33 @@
     }
 }
 
+// Adopts sessions whose successor was itself adopted by this session. If both adoptions were written at the
+// same time, the second one did not include the first.
+void session_manager::adopt_inherited_sessions(time_point now) {
+    for (const auto& [former, state] : members_.adoptions()) {
+        const auto next = members_.adoptions().find(state.record.successor);
+        if (next == members_.adoptions().end() || next->second.record.successor != session_ ||
+            pending_adoptions_.contains(former))
+            continue;
+        record_decision(
+            "adopting the jobs of a session whose successor is gone",
+            {{"former", session_text(former)}, {"successor", session_text(state.record.successor)}}, true);
+        pending_adoption& pending = pending_adoptions_[former];
+        pending.result.record = {former, session_, state.record.succession_count + 1};
+        pending.result.may_be_running = true;
+        store_write write;
+        write.conditions.push_back({entry_key(session_.name), entry_revision_});
+        write.conditions.push_back({adopted_key(former), state.revision});
+        write.puts.push_back({adopted_key(former), pending.result.record});
+        send(purpose::adopt_session, std::move(write), timeout(), now, former);
+    }
+}
+
+bool session_manager::is_successor_of_another(const incarnation& session) const {
+    return std::any_of(members_.adoptions().begin(), members_.adoptions().end(),
+                       [&](const auto& entry) { return entry.second.record.successor == session; });
+}
+
 void session_manager::adopt_session(const incarnation& former, bool may_be_running, time_point now) {
     const member_directory::entry_state* entry = members_.find_entry(former.name);
     if (entry == nullptr || entry->record.session != former)
@@ -405,7 +433,7 @@
     const auto found = members_.adoptions().find(former);
     if (phase_ != phase::active || found == members_.adoptions().end() ||
         found->second.record.successor != session_ || is_waiting_for(purpose::remove_adoption) ||
-        pending_adoptions_.contains(former))
+        pending_adoptions_.contains(former) || is_successor_of_another(former))
         return;
     store_write write;
     write.conditions.push_back({entry_key(session_.name), entry_revision_});
--- a/coordination/session_manager.h
+++ b/coordination/session_manager.h
@@ -118,6 +118,8 @@
     void keep_alive(time_point now);
     void write_liveness_key(time_point now);
     void adopt_expired_sessions(time_point now);
+    void adopt_inherited_sessions(time_point now);
+    bool is_successor_of_another(const incarnation& session) const;
     void adopt_session(const incarnation& former, bool may_be_running, time_point now);
     void process_adoption_reply(const incarnation& former, const store_reply& reply, time_point now);
     void list_jobs(const incarnation& former, time_point now);
