Test chained adoptions and connection requests directly

Comments say which load the subset answers and when a lost connection is expected. No change of behaviour.

--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -49,13 +49,13 @@
     // time.
     milliseconds queue_timeout{30};
     // Maximum number of entries that an agent serves. It bounds the connections and messages of an agent, and
-    // those of an entry depend on the ratio of agents to entries instead of the number of agents. Ten entries
-    // out of several zones leave an agent connected if half of the entries and a zone are lost.
+    // those of an entry depend on the ratio of agents to entries instead of the number of agents. With ten
+    // entries, an agent is still connected after the loss of half of all entries.
     std::size_t max_entries = 10;
     // An entry that the agent no longer serves is told to send no more runs. The connection is closed after
     // this time, when all start messages that were in flight have arrived, and when its runs have ended.
     milliseconds release_delay{1000};
-    // An entry that needs all agents repeats its request at a shorter interval than this.
+    // How long a request for a connection holds. The entry repeats it more often than this while it needs it.
     milliseconds connection_request_duration{4000};
     // Minimum time between two messages to one entry that report only free capacity or started runs. With
     // more frequent messages all entries would compete for every slot that becomes free. The time grows with
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -63,9 +63,12 @@
     is_session_update_needed_ = true;
     peers_.erase(link);
     if (agent_view* agent = agents_.find_by_link(link)) {
+        // An agent that accepts no runs and has none closes the connection itself: it shuts down, or serves
+        // other entries.
+        const bool is_unexpected = agent->profile.accepts_runs || !agent->runs.empty();
         record_decision("lost the connection to an agent", {},
                         {{"agent", agent->name}, {"runs", static_cast<std::int64_t>(agent->runs.size())}},
-                        agent->profile.accepts_runs || !agent->runs.empty());
+                        is_unexpected);
         agents_.disconnect(*agent);
     }
 }
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -762,5 +762,50 @@
     EXPECT_GT(entry_.session().number, 101U);
 }
 
+// Guards against a successor that waits for agents which never connect, because they serve other entries.
+TEST_F(entry_core_test, asks_the_other_entries_for_agents_that_an_adoption_needs) {
+    const incarnation previous_session{"entry", 50};
+    entry_record record = self();
+    record.session = previous_session;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.plan = job("a", true, 1).plan;
+    store_.put(open_job_key(previous_session, "a"), open);
+    store_.put(agent_key("agent"), agent_record{"agent", "zone"});
+    store_.put(agent_key("other"), agent_record{"other", "zone"});
+    constexpr link_number peer_link = 20;
+    entry_.link_opened(peer_link, false, now_);
+    entry_.received(peer_link, peer_hello{"peer", {"peer", 1}}, now_, wall_);
+    prepare();
+    connect_agent();
+    std::vector<connection_request> requests = take_messages<connection_request>(peer_link);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].entry_address, self().peer_address);
+    advance_time(entry_limits{}.connection_request_interval);
+    EXPECT_EQ(take_messages<connection_request>(peer_link).size(), 1U);
+    connect_agent(12, "other");
+    advance_time(entry_limits{}.connection_request_interval);
+    EXPECT_TRUE(take_messages<connection_request>(peer_link).empty());
+}
+
+// Guards against requests for a connection that do not reach the agents, or that anything but an entry makes.
+TEST_F(entry_core_test, passes_a_connection_request_of_an_entry_on_to_its_agents) {
+    prepare();
+    connect_agent();
+    constexpr link_number peer_link = 20;
+    entry_.link_opened(peer_link, false, now_);
+    entry_.received(peer_link, connection_request{"peer:1"}, now_, wall_);
+    collect();
+    EXPECT_TRUE(take_messages<connection_request>().empty());
+    entry_.received(peer_link, peer_hello{"peer", {"peer", 1}}, now_, wall_);
+    entry_.received(peer_link, connection_request{"peer:1"}, now_, wall_);
+    collect();
+    const std::vector<connection_request> requests = take_messages<connection_request>();
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].entry_address, "peer:1");
+}
+
 } // namespace
 } // namespace persimmonstile
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -184,5 +184,49 @@
     EXPECT_EQ(session_manager_.session().number, 2U);
 }
 
+// An entry adopts a session ("first") at the moment when this entry adopts that entry ("middle").
+class chained_adoption_test : public session_manager_test {
+protected:
+    const incarnation first_{"first", 8};
+    const incarnation middle_{"middle", 9};
+
+    // Lets this entry adopt middle_, and then lets the watch show that middle_ had adopted first_.
+    void adopt_middle() {
+        add_other(middle_);
+        answer_calls();
+        advance_time(milliseconds{3000});
+        store_.remove(liveness_key(middle_));
+        advance_time(milliseconds{5000});
+        ASSERT_EQ(session_manager_.take_adopted().size(), 1U);
+        store_.put(open_job_key(first_, "a"), open_job{});
+        store_.put(adopted_key(first_), session_adoption{first_, middle_, 1});
+    }
+};
+
+// Guards against durable jobs that no entry owns, because the session that adopted them is gone.
+TEST_F(chained_adoption_test, adopts_what_an_adopted_session_had_adopted) {
+    adopt_middle();
+    advance_time(milliseconds{500});
+    const auto adopted = session_manager_.take_adopted();
+    ASSERT_EQ(adopted.size(), 1U);
+    EXPECT_EQ(adopted[0].record.former, first_);
+    EXPECT_EQ(adopted[0].record.successor, session_manager_.session());
+    EXPECT_EQ(adopted[0].record.succession_count, 2U);
+    EXPECT_EQ(adopted[0].jobs.size(), 1U);
+}
+
+// Guards against removing the record that tells who has to adopt the first session.
+TEST_F(chained_adoption_test, keeps_the_adoption_to_which_another_one_refers) {
+    adopt_middle();
+    for (const session_manager::call& call : std::exchange(pending_calls_, {})) {
+        if (const auto reply = store_.call(call.what, now_))
+            session_manager_.replied(call.id, *reply, now_);
+    }
+    ASSERT_TRUE(session_manager_.members().adoptions().contains(first_));
+    session_manager_.end_adoption(middle_, now_);
+    answer_calls();
+    EXPECT_TRUE(store_.items().contains(adopted_key(middle_)));
+}
+
 } // namespace
 } // namespace persimmonstile
