Let the test of unlisted entries fail for its fault

A run kept the link open, so the test also passed without the rule that an entry which no list names is not released. Without the run it fails then.

--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -884,6 +884,9 @@
 
 // Guards against an entry that loses its agents with its session: it still accepts jobs that are not stored.
 TEST_F(entry_subset_agent_test, keeps_the_link_to_an_entry_that_is_not_listed) {
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    answer(*start, backend_verdict::unhealthy);
     welcome(released_link, process_, session_, {});
     welcome(served_link, {"other", 1}, {"other", 2}, choose_entries("agent", addresses_, 1));
     advance_time(2 * agent_limits{}.release_delay);
