Review case 1: show what the lost job does to other callers

The ends of a lost job's runs are never acknowledged, and after 500 further ends an executor's list shows no new one.

--- a/review/harness/site.cpp
+++ b/review/harness/site.cpp
@@ -74,6 +74,13 @@
     return body.str();
 }
 
+std::string short_job_body(int count, int work_ms) {
+    std::ostringstream body;
+    body << R"({"Spec":")" << work_ms << R"(","BestEffort":true,"Steps":[{"Count":)" << count
+         << R"(,"Cpu":500,"MemMb":64,"EstRuntimeMs":)" << work_ms << "}]}";
+    return body.str();
+}
+
 site::site(asio::io_context& context, const site_options& options)
     : context_{context}
     , options_{options}
--- a/review/harness/site.h
+++ b/review/harness/site.h
@@ -146,6 +146,8 @@
 };
 
 std::string task_text(const task_ref& task);
+// The body of a job with one step of small tasks that need not be kept.
+std::string short_job_body(int count, int work_ms);
 // The body of a kept job with one step.
 std::string job_body(int count, int work_ms, const std::string& more_of_step = {},
                      const std::string& more_of_job = {});
