--- a/review/harness/case_done_task_again.cpp
+++ b/review/harness/case_done_task_again.cpp
@@ -74,7 +74,9 @@
         world.note("BROKEN TWICE: a run of " + task +
                    " started after another had ended done; this end was noted");
     }
-    return is_broken ? rule_broken : rule_held;
+    if (is_broken)
+        return rule_broken;
+    return noted.size() == tasks ? rule_held : could_not_run;
 }
 
 } // namespace persimmonstile::review
--- a/review/harness/site.cpp
+++ b/review/harness/site.cpp
@@ -50,7 +50,7 @@
 constexpr std::size_t client_connections = 64;
 
 constexpr const char* queue_host = "work.example";
-constexpr const char* queue_prefix = "/work/";
+constexpr const char* queue_prefix = "/tasks/";
 
 std::string kind_text(const run_event& event) {
     if (event.what == run_event::kind::started)
--- a/review/harness/site.h
+++ b/review/harness/site.h
@@ -67,7 +67,7 @@
     // Each entry is named "edge-1" and so on, each agent "side-1" and so on.
     void start_entries(int count);
     void start_sides(const std::vector<side_options>& sides, executor::planner plan);
-    // Writes a configuration with one queue, "/work/", of the service "dispatch".
+    // Writes a configuration with one queue, "/tasks/", of the service "dispatch".
     void write_config(std::uint32_t attempts);
     // Waits until the entries accept a kept job and it has ended.
     bool wait_until_serving();
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -3,13 +3,14 @@
 # Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
 set -eu
 name=$1
-folder=$(cd "$2" && pwd)
-root=$(cd "$(dirname "$0")/.." && pwd)
+folder=$(cd "$2" && pwd) || exit 2
+root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
 if [ ! -x "$root/target/bin/persimmonstiled" ] || [ ! -x "$root/target/review/bin/review-case" ]; then
     echo "build the deploy file's target and review/build.sh first" >&2
     exit 2
 fi
-work=$(mktemp -d)
+touch "$folder/record.txt" || exit 2
+work=$(mktemp -d) || exit 2
 code=0
 timeout 120 "$root/target/review/bin/review-case" "$name" "$root/target/bin" "$work" "$folder/record.txt" ||
     code=$?
@@ -19,6 +20,6 @@
 if [ -n "${KEEP_LOGS:-}" ]; then
     echo "logs are in $work" >&2
 else
-    rm -rf "${work:?}"
+    rm -rf "${work:?}" || true
 fi
 exit "$code"
