--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -30,6 +30,16 @@
         record_decision("ignored a delayed announcement of an earlier life", {}, {{"backend", profile.id}});
         return;
     }
+    if (!is_same_life && !backend_.id.empty())
+        record_decision("another backend server or life was announced", {},
+                        {{"backend", backend_.id},
+                         {"life", static_cast<std::int64_t>(backend_.life)},
+                         {"announced", profile.id},
+                         {"announced_life", static_cast<std::int64_t>(profile.life)},
+                         {"service", profile.service},
+                         {"sequence", static_cast<std::int64_t>(announcement.sequence)},
+                         {"runs", static_cast<std::int64_t>(runs_.active_count())}},
+                        true);
     if (!is_same_life)
         begin_backend_life(profile.id, profile.life, now);
     last_sequence_ = announcement.sequence;
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -150,7 +150,12 @@
     if (is_raise)
         raise_order_id_ = 0;
     if (reply.verdict == backend_verdict::other_instance) {
-        record_decision("another backend server answered", {}, {{"backend", backend_.id}}, true);
+        record_decision("another backend server answered", {},
+                        {{"backend", backend_.id},
+                         {"life", static_cast<std::int64_t>(backend_.life)},
+                         {"answered_life", static_cast<std::int64_t>(reply.life)},
+                         {"runs", static_cast<std::int64_t>(runs_.active_count())}},
+                        true);
         process_backend_loss(run_refusal::no_backend, false, now);
         backend_ = {};
         has_profile_ = false;
@@ -341,7 +346,10 @@
     run_record* record = runs_.find(listed.run);
     if (record == nullptr) {
         record_decision("found a run at the backend server", listed.run.task.job,
-                        {{"run", static_cast<std::int64_t>(listed.run.run)}});
+                        {{"step", listed.run.task.step},
+                         {"task", listed.run.task.index},
+                         {"run", static_cast<std::int64_t>(listed.run.run)},
+                         {"backend", backend_.id}});
         run_record found;
         found.run = listed.run;
         found.state = run_state::running;
@@ -421,8 +429,15 @@
             missing_runs.push_back(record.run);
     });
     for (const run_ref& run : missing_runs) {
+        const run_record& record = *runs_.find(run);
         record_decision("run is in no list of the backend server", run.task.job,
-                        {{"run", static_cast<std::int64_t>(run.run)}}, true);
+                        {{"step", run.task.step},
+                         {"task", run.task.index},
+                         {"run", static_cast<std::int64_t>(run.run)},
+                         {"backend", backend_.id},
+                         {"found", record.payload == nullptr ? 1 : 0},
+                         {"list_age_us", std::chrono::duration_cast<microseconds>(now - hold.sent).count()}},
+                        true);
         end_run(*runs_.find(run), run_state::lapsed, run_refusal::no_backend, now);
     }
 }
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -144,6 +144,16 @@
                 orphans_.add(agent.number, report, now);
             continue;
         }
+        const ledger_task* task = job_ledger::find_task(*job, report.run.task);
+        if (task != nullptr && !is_final(report.state) &&
+            (task->phase == task_phase::done || report.run.run < task->run))
+            record_decision("agent found a run that a newer run has replaced", report.run.task.job,
+                            {{"step", report.run.task.step},
+                             {"task", report.run.task.index},
+                             {"run", static_cast<std::int64_t>(report.run.run)},
+                             {"newest_run", static_cast<std::int64_t>(task->run)},
+                             {"agent", agent.name}},
+                            true);
         if (report.run.task.step < job->record->plan.steps.size())
             (job->is_durable() ? durable_claim : non_durable_claim)
                 .runs.push_back({report.run, job->step(report.run.task.step).task_needs});
