Name the addressed backend server in the order itself

An order took its Target-Instance from the agent's present backend server at the moment of sending. Orders to anyone else, such as a server that has announced itself but has not answered yet, could not be written. The order now carries the id; what is sent is the same.

--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -20,6 +20,7 @@
                                      milliseconds timeout, time_point now) {
     backend_order order;
     order.id = ++last_order_id_;
+    order.backend_id = backend_.id;
     order.fencing_token = fencing_token_;
     order.timeout = timeout;
     const auto* hold = std::get_if<hold_order>(&action);
--- a/coordination/backend_order.h
+++ b/coordination/backend_order.h
@@ -35,6 +35,8 @@
 // An order to a backend server: the fields common to all kinds of orders, and the action.
 struct backend_order {
     std::uint64_t id = 0;
+    // Id of the backend server that the order is addressed to. Any other one at the same address refuses it.
+    std::string backend_id;
     // The backend server refuses orders with a lower token than the highest one that it has seen.
     std::uint64_t fencing_token = 0;
     // End of the lease, by the clock of the backend server.
--- a/daemon/durable_agent.cpp
+++ b/daemon/durable_agent.cpp
@@ -67,8 +67,7 @@
         links_.send(link, message);
     for (const backend_order& order : output.orders) {
         interfaces_.orders(
-            order, core_.backend_id(),
-            [this, action = order.action.index(), sent = clock_.now()](const backend_reply& reply) {
+            order, [this, action = order.action.index(), sent = clock_.now()](const backend_reply& reply) {
                 metrics_.record_order(action, reply.verdict, clock_.now() - sent);
                 handle_event([&] { core_.replied(reply, clock_.now()); });
             });
--- a/daemon/durable_agent.h
+++ b/daemon/durable_agent.h
@@ -16,8 +16,8 @@
 namespace persimmonstile {
 
 // Sends an order to the backend server. The handler is called exactly once, after the call has returned.
-using order_caller = std::function<void(const backend_order& order, const std::string& backend_id,
-                                        std::function<void(const backend_reply&)>)>;
+using order_caller =
+    std::function<void(const backend_order& order, std::function<void(const backend_reply&)>)>;
 
 // An agent in a deployment with durable jobs. It connects agent_core with the backend server, the entries,
 // the store and the clock. All calls are made on the thread that runs the context.
