Show that reports of another backend server end runs that go on

These tests drive one agent whose backend server runs a task, and let another one report itself, answer at its address, or the present one sign off. The agent reports the run as lapsed in each case, at once, though nothing shows that it has ended; its entry then starts the task elsewhere.

--- /dev/null
+++ b/tests/backend_identity_test.cpp
@@ -0,0 +1,213 @@
+#include "coordination/agent_core.h"
+#include "state/limits.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+constexpr link_number entry_link = 1;
+
+// Drives an agent_core whose backend server "present" runs one task, together with the orders that are
+// addressed to it and to others at the same address.
+class backend_identity_test : public testing::Test {
+protected:
+    const incarnation process_{"entry", 5};
+    const run_ref run_{{"job", 0, 0, 0}, 1};
+    time_point now_{std::chrono::seconds{100}};
+    std::uint64_t sequence_ = 0;
+    agent_core agent_{incarnation{"agent", 1}, "zone", agent_limits{}, now_};
+    std::vector<backend_order> orders_;
+    std::vector<work_message> messages_;
+    // The backend server that answers at the agent's address, and whether it runs the task.
+    std::string answering_ = "present";
+    std::uint64_t answering_life_ = 1000;
+    bool is_running_ = false;
+
+    backend_identity_test() {
+        agent_.link_opened(entry_link, now_);
+        agent_.received(entry_link, entry_welcome{process_, {"entry", 6}, {"entry:1"}, {}, 0}, now_);
+        announce("present", 1000);
+        serve_orders();
+        start_run();
+        serve_orders();
+        keep_serving(milliseconds{200});
+    }
+
+    void collect() {
+        agent_output output = agent_.take_output(now_);
+        std::move(output.orders.begin(), output.orders.end(), std::back_inserter(orders_));
+        for (auto& [link, message] : output.messages)
+            messages_.push_back(std::move(message));
+    }
+
+    void announce(const std::string& id, std::uint64_t life) {
+        backend_profile profile;
+        profile.id = id;
+        profile.life = life;
+        profile.service = "service";
+        profile.zone = "zone";
+        profile.capacity = {10000, 4096, 0};
+        agent_.announced({profile, ++sequence_, 50000}, now_);
+        collect();
+    }
+
+    void start_run() {
+        run_start_request message;
+        message.owner = process_;
+        message.job = "job";
+        message.is_durable = false;
+        message.runs.push_back({0, 0, 0, 1, {3000, 64, 0}, {}, 0});
+        pong();
+        agent_.received(entry_link, message, now_);
+        collect();
+    }
+
+    void pong() {
+        agent_.received(entry_link, owner_pong{now_.time_since_epoch().count(), true}, now_);
+        collect();
+    }
+
+    backend_reply reply_to(const backend_order& order) {
+        backend_reply reply;
+        reply.id = order.id;
+        reply.clock_ms = 50000 + std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+        if (order.backend_id != answering_) {
+            reply.verdict = backend_verdict::other_instance;
+            return reply;
+        }
+        reply.life = answering_life_;
+        reply.verdict = backend_verdict::accepted;
+        if (std::holds_alternative<start_order>(order.action))
+            is_running_ = true;
+        if (std::holds_alternative<hold_order>(order.action) && is_running_)
+            reply.running.push_back({run_, {}, static_cast<std::uint32_t>(++percent_)});
+        return reply;
+    }
+
+    // Answers the orders that are open now.
+    void serve_orders() {
+        const std::vector<backend_order> open = std::exchange(orders_, {});
+        for (const backend_order& order : open) {
+            agent_.replied(reply_to(order), now_);
+            collect();
+        }
+    }
+
+    // Lets time pass while the entry and the backend server answer, in steps of 20 ms.
+    void keep_serving(milliseconds time) {
+        constexpr milliseconds step{20};
+        for (milliseconds passed{0}; passed < time; passed += step) {
+            now_ += step;
+            pong();
+            agent_.tick(now_);
+            collect();
+            serve_orders();
+        }
+    }
+
+    std::optional<run_state> last_reported_state() const {
+        std::optional<run_state> state;
+        const auto search = [&](const std::vector<run_report>& reports) {
+            for (const run_report& report : reports) {
+                if (report.run == run_)
+                    state = report.state;
+            }
+        };
+        for (const work_message& message : messages_) {
+            if (const auto* reports = std::get_if<run_reports>(&message))
+                search(reports->reports);
+            if (const auto* inventory = std::get_if<run_inventory>(&message))
+                search(inventory->reports);
+        }
+        return state;
+    }
+
+    bool was_reported_ended() const {
+        const auto state = last_reported_state();
+        return state && is_final(*state);
+    }
+
+    // How long the run is reported as active from now on, while nothing renews its lease.
+    milliseconds time_until_reported_ended() {
+        const time_point start = now_;
+        while (!was_reported_ended() && now_ < start + milliseconds{5000})
+            keep_serving(milliseconds{20});
+        return std::chrono::duration_cast<milliseconds>(now_ - start);
+    }
+
+private:
+    int percent_ = 0;
+};
+
+// Guards against a second run of a task whose first run goes on: a report by an executor that is not at the
+// agent's address (delayed, of a reused address, or of another writer) must not end the agent's runs.
+TEST_F(backend_identity_test, a_report_of_another_backend_server_ends_no_run) {
+    announce("stray", 2000);
+    keep_serving(milliseconds{1400});
+    EXPECT_EQ(last_reported_state(), run_state::running);
+    announce("stray", 2000);
+    keep_serving(milliseconds{1400});
+    EXPECT_EQ(last_reported_state(), run_state::running);
+    EXPECT_EQ(agent_.backend_id(), "present");
+}
+
+// Guards against the same with the id of the present backend server: a report of another life of it.
+TEST_F(backend_identity_test, a_late_report_of_another_life_ends_no_run) {
+    announce("present", 2000);
+    keep_serving(milliseconds{1400});
+    EXPECT_EQ(last_reported_state(), run_state::running);
+    EXPECT_EQ(agent_.backend_life(), 1000U);
+}
+
+// Guards against a replacement that is never taken up because the time of day was set back before it started.
+TEST_F(backend_identity_test, takes_up_a_replacement_that_was_born_at_an_earlier_time_of_day) {
+    answering_ = "replacement";
+    answering_life_ = 500;
+    is_running_ = false;
+    announce("replacement", 500);
+    keep_serving(milliseconds{100});
+    EXPECT_EQ(agent_.backend_id(), "replacement");
+}
+
+// Guards against a second run of a task before the lease of the first one has expired: an answer by another
+// backend server does not show that the former one has ended, since both may work for a while.
+TEST_F(backend_identity_test, a_replaced_backend_server_ends_no_run_before_its_lease) {
+    answering_ = "replacement";
+    answering_life_ = 2000;
+    is_running_ = false;
+    announce("replacement", 2000);
+    EXPECT_GE(time_until_reported_ended(), agent_limits{}.max_lease - milliseconds{100});
+    EXPECT_LT(time_until_reported_ended(), milliseconds{2000});
+}
+
+// Guards against the same when the replacement has not announced itself yet.
+TEST_F(backend_identity_test, an_order_answered_by_another_ends_no_run_before_its_lease) {
+    answering_ = "replacement";
+    EXPECT_GE(time_until_reported_ended(), agent_limits{}.max_lease - milliseconds{100});
+}
+
+// Guards against a second run of a task whose backend server has signed off but still works.
+TEST_F(backend_identity_test, a_backend_server_that_signs_off_ends_no_run) {
+    agent_.left("present", now_);
+    keep_serving(milliseconds{1400});
+    EXPECT_EQ(last_reported_state(), run_state::running);
+}
+
+// Guards against a run that is lost although it goes on, when its backend server answers again in time.
+TEST_F(backend_identity_test, keeps_a_run_whose_backend_server_answers_again) {
+    answering_ = "replacement";
+    keep_serving(milliseconds{100});
+    answering_ = "present";
+    announce("present", 1000);
+    keep_serving(milliseconds{1400});
+    EXPECT_EQ(last_reported_state(), run_state::running);
+}
+
+} // namespace
+} // namespace persimmonstile
