Take up another backend server only when it has answered an order

A report says who sent it, not who is at the agent's address. It may be late, its sender may use an address that was in use before, or may be another writer. The guard against late reports compared the times of birth of different backend servers, which also kept out a true replacement after the time of day had been set back.

A report by another one is now a candidate: the agent sends it a hold order that changes nothing, addressed to its id. It is taken up if it answers, and ignored with a warning if another one does. Until then the present backend server keeps its leases and its work. A candidate's shutdown is not acknowledged, because this agent cannot keep the promise for it.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -62,6 +62,8 @@
     }
     if (runs_.active_count() > 0)
         next = std::min(next, now + limits_.max_hold_wait);
+    if (candidate_ && candidate_order_id_ == 0)
+        next = std::min(next, next_candidate_check_);
     if (next_detached_expiry_ != time_point::max())
         next = std::min(next, std::max(now + limits_.min_list_interval, next_detached_expiry_));
     if (backend_health_.is_avoided(now))
@@ -75,6 +77,7 @@
         raise_token(now);
     if (is_hold_due(now))
         send_hold_order(now);
+    check_candidate(now);
     if (is_release_update_needed_)
         update_released_links(now);
     send_profile_if_changed(now);
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -32,9 +32,11 @@
 public:
     agent_core(incarnation self, std::string zone, const agent_limits& limits, time_point now);
 
-    // The backend server announced its profile. Ignores announcements that are delayed or repeated. A new
-    // lifetime of the backend server resets the state that belongs to the previous one.
-    void announced(const backend_announcement& announcement, time_point now);
+    // A backend server announced its profile. Ignores announcements that are delayed or repeated. Another
+    // backend server or lifetime than the present one is taken up when it has answered an order.
+    // Returns false if the announcement must not be acknowledged: the agent cannot promise that a backend
+    // server that shuts down gets no new work before it has taken it up.
+    bool announced(const backend_announcement& announcement, time_point now);
     // The backend server announced that it shuts down.
     void left(const std::string& backend_id, time_point now);
     void replied(const backend_reply& reply, time_point now);
@@ -131,6 +133,8 @@
     // Orders to the backend server.
     std::uint64_t send_order(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
                              time_point now);
+    std::uint64_t send_order(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
+                             time_point now, const std::string& backend_id);
     bool has_unclaimed_runs();
     void start_queued(time_point now);
     void send_start_order(run_record& record, time_point now);
@@ -142,6 +146,12 @@
     std::uint64_t end_to_acknowledge(time_point now) const;
     bool is_hold_due(time_point now) const;
 
+    // Which backend server is at the agent's address.
+    void apply_announcement(const backend_announcement& announcement, time_point now);
+    void consider_candidate(const backend_announcement& announcement, time_point now);
+    void check_candidate(time_point now);
+    void process_candidate_reply(const backend_reply& reply, time_point now);
+    void reject_candidate();
     void begin_backend_life(const std::string& id, std::uint64_t life, time_point now);
     void detach_backend(time_point now);
     void end_expired_detached_runs(time_point now);
@@ -200,6 +210,12 @@
     // The backend server has announced its capacity in this lifetime.
     bool has_profile_ = false;
     std::uint64_t last_sequence_ = 0;
+    // The latest announcement by another backend server or life, until it has answered an order.
+    std::optional<backend_announcement> candidate_;
+    time_point candidate_expires_at_{};
+    time_point next_candidate_check_{};
+    // Id of the order to the candidate; 0 if none is in flight.
+    std::uint64_t candidate_order_id_ = 0;
     backend_clock backend_clock_;
     backend_health backend_health_;
     std::uint64_t fencing_token_ = 0;
--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -1,54 +1,121 @@
 #include "coordination/agent_core.h"
+#include "state/limits.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace persimmonstile {
 
-void agent_core::announced(const backend_announcement& announcement, time_point now) {
+bool agent_core::announced(const backend_announcement& announcement, time_point now) {
     const backend_profile& profile = announcement.profile;
-    const bool is_same_life = profile.id == backend_.id && profile.life == backend_.life;
-    if (is_same_life && announcement.sequence <= last_sequence_)
-        return;
-    if (!is_same_life && !backend_.id.empty() && profile.life < backend_.life) {
-        record_decision("ignored a delayed announcement of an earlier life", {}, {{"backend", profile.id}});
-        return;
+    if (!backend_.id.empty() && (profile.id != backend_.id || profile.life != backend_.life)) {
+        consider_candidate(announcement, now);
+        return !profile.draining;
     }
-    if (!is_same_life && !backend_.id.empty())
-        record_decision("another backend server or life was announced", {},
-                        {{"backend", backend_.id},
-                         {"life", static_cast<std::int64_t>(backend_.life)},
-                         {"announced", profile.id},
-                         {"announced_life", static_cast<std::int64_t>(profile.life)},
-                         {"service", profile.service},
-                         {"sequence", static_cast<std::int64_t>(announcement.sequence)},
-                         {"runs", static_cast<std::int64_t>(runs_.active_count())}},
-                        true);
-    if (!is_same_life)
+    const bool is_new = backend_.id.empty();
+    if (is_new)
         begin_backend_life(profile.id, profile.life, now);
+    if (is_new || announcement.sequence > last_sequence_)
+        apply_announcement(announcement, now);
+    return true;
+}
+
+void agent_core::apply_announcement(const backend_announcement& announcement, time_point now) {
     last_sequence_ = announcement.sequence;
     backend_clock_.observe(announcement.clock_ms, now);
     const bool is_first = !has_profile_;
-    const bool started_draining = profile.draining && !backend_.draining;
-    backend_ = profile;
+    const bool started_draining = announcement.profile.draining && !backend_.draining;
+    backend_ = announcement.profile;
     has_profile_ = true;
     if (is_first)
         record_decision("backend server announced", {},
-                        {{"backend", profile.id},
-                         {"life", static_cast<std::int64_t>(profile.life)},
-                         {"cpu_millicores", profile.capacity.cpu_millicores},
-                         {"memory_mb", profile.capacity.memory_mb}});
+                        {{"backend", backend_.id},
+                         {"life", static_cast<std::int64_t>(backend_.life)},
+                         {"cpu_millicores", backend_.capacity.cpu_millicores},
+                         {"memory_mb", backend_.capacity.memory_mb}});
     if (started_draining) {
         record_decision("backend server is draining", {}, {{"backend", backend_.id}});
         refuse_queued(run_refusal::draining, now);
     }
 }
 
+// An announcement by another backend server or life than the present one may be delayed, or come from one
+// that is not at this agent's address. Its times of birth do not show this, because clocks may be set. It is
+// a candidate until it answers an order that is addressed to it.
+void agent_core::consider_candidate(const backend_announcement& announcement, time_point now) {
+    if (candidate_order_id_ != 0)
+        return;
+    const bool is_known = candidate_ && candidate_->profile.id == announcement.profile.id &&
+                          candidate_->profile.life == announcement.profile.life;
+    if (is_known && announcement.sequence <= candidate_->sequence)
+        return;
+    candidate_ = announcement;
+    candidate_expires_at_ = now + announcement_lifetime;
+    next_candidate_check_ = now;
+}
+
+// Sends the candidate a hold order that changes nothing there: it renews no lease and acknowledges no end.
+void agent_core::check_candidate(time_point now) {
+    if (!candidate_ || candidate_order_id_ != 0 || now < next_candidate_check_)
+        return;
+    if (now >= candidate_expires_at_) {
+        candidate_.reset();
+        return;
+    }
+    hold_order hold;
+    hold.renews = false;
+    candidate_order_id_ = send_order(hold, order_round_trip_.timeout(), now, candidate_->profile.id);
+}
+
+void agent_core::process_candidate_reply(const backend_reply& reply, time_point now) {
+    candidate_order_id_ = 0;
+    switch (reply.verdict) {
+    case backend_verdict::accepted:
+    case backend_verdict::fenced:
+        break;
+    case backend_verdict::other_instance:
+        reject_candidate();
+        return;
+    default:
+        next_candidate_check_ = now + limits_.retry_delay;
+        return;
+    }
+    const backend_announcement announcement = *candidate_;
+    const backend_profile& profile = announcement.profile;
+    if (profile.id == backend_.id && profile.life == backend_.life) {
+        candidate_.reset();
+        return;
+    }
+    const bool has_other_life = reply.life != 0 && reply.life != profile.life;
+    const bool is_unproven = reply.life == 0 && profile.id == backend_.id;
+    if (has_other_life || is_unproven) {
+        reject_candidate();
+        return;
+    }
+    candidate_.reset();
+    begin_backend_life(profile.id, profile.life, now);
+    apply_announcement(announcement, now);
+}
+
+void agent_core::reject_candidate() {
+    record_decision("ignored the announcement of a backend server that is not at this address", {},
+                    {{"backend", backend_.id},
+                     {"life", static_cast<std::int64_t>(backend_.life)},
+                     {"announced", candidate_->profile.id},
+                     {"announced_life", static_cast<std::int64_t>(candidate_->profile.life)},
+                     {"service", candidate_->profile.service},
+                     {"sequence", static_cast<std::int64_t>(candidate_->sequence)}},
+                    true);
+    candidate_.reset();
+}
+
 // Starts tracking a lifetime of a backend server. Orders in flight to the previous one may reach it, so it is
 // unknown which runs it has until its lists are read.
 void agent_core::begin_backend_life(const std::string& id, std::uint64_t life, time_point now) {
     if (!backend_.id.empty())
         detach_backend(now);
+    record_decision("backend server is taken up", {},
+                    {{"backend", id}, {"life", static_cast<std::int64_t>(life)}});
     backend_.id = id;
     backend_.life = life;
     is_unresponsive_ = false;
@@ -89,7 +156,7 @@
     for (const run_ref& run : ended)
         runs_.erase(run);
     is_synchronized_ = false;
-    orders_in_flight_.clear();
+    std::erase_if(orders_in_flight_, [&](const auto& order) { return order.first != candidate_order_id_; });
     starts_in_flight_ = 0;
     hold_order_id_ = 0;
     raise_order_id_ = 0;
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -18,9 +18,14 @@
 
 std::uint64_t agent_core::send_order(std::variant<start_order, stop_order, hold_order> action,
                                      milliseconds timeout, time_point now) {
+    return send_order(std::move(action), timeout, now, backend_.id);
+}
+
+std::uint64_t agent_core::send_order(std::variant<start_order, stop_order, hold_order> action,
+                                     milliseconds timeout, time_point now, const std::string& backend_id) {
     backend_order order;
     order.id = ++last_order_id_;
-    order.backend_id = backend_.id;
+    order.backend_id = backend_id;
     order.fencing_token = fencing_token_;
     order.timeout = timeout;
     const auto* hold = std::get_if<hold_order>(&action);
@@ -143,6 +148,10 @@
         return;
     const sent_order sent = std::move(found->second);
     orders_in_flight_.erase(found);
+    if (reply.id == candidate_order_id_) {
+        process_candidate_reply(reply, now);
+        return;
+    }
     if (reply.clock_ms > 0)
         backend_clock_.observe(reply.clock_ms, now);
     const bool is_raise = reply.id == raise_order_id_;
--- a/daemon/durable_agent.cpp
+++ b/daemon/durable_agent.cpp
@@ -130,8 +130,10 @@
     }
 }
 
-void durable_agent::announced(const backend_announcement& announcement) {
-    handle_event([&] { core_.announced(announcement, clock_.now()); });
+bool durable_agent::announced(const backend_announcement& announcement) {
+    bool is_acknowledged = false;
+    handle_event([&] { is_acknowledged = core_.announced(announcement, clock_.now()); });
+    return is_acknowledged;
 }
 
 void durable_agent::left(const std::string& backend_id) {
--- a/daemon/durable_agent.h
+++ b/daemon/durable_agent.h
@@ -32,8 +32,9 @@
     durable_agent(asio::io_context& context, const daemon_settings& settings, const agent_limits& limits,
                   const clock_source& clock, external_interfaces interfaces);
 
-    // The backend server has announced itself, or has deregistered.
-    void announced(const backend_announcement& announcement);
+    // A backend server has announced itself, or has deregistered. An announcement is to be acknowledged only
+    // if announced() returns true.
+    bool announced(const backend_announcement& announcement);
     void left(const std::string& backend_id);
 
     void begin_shutdown();
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -46,15 +46,18 @@
             messages_.push_back(std::move(message));
     }
 
-    void announce(const std::string& id, std::uint64_t life) {
+    // Returns whether the announcement is acknowledged.
+    bool announce(const std::string& id, std::uint64_t life, bool is_draining = false) {
         backend_profile profile;
         profile.id = id;
         profile.life = life;
         profile.service = "service";
         profile.zone = "zone";
         profile.capacity = {10000, 4096, 0};
-        agent_.announced({profile, ++sequence_, 50000}, now_);
+        profile.draining = is_draining;
+        const bool is_acknowledged = agent_.announced({profile, ++sequence_, 50000}, now_);
         collect();
+        return is_acknowledged;
     }
 
     void start_run() {
@@ -165,6 +168,12 @@
     EXPECT_EQ(agent_.backend_life(), 1000U);
 }
 
+// Guards against work for a backend server whose shutdown this agent has acknowledged for another agent.
+TEST_F(backend_identity_test, does_not_acknowledge_the_shutdown_of_another_backend_server) {
+    EXPECT_FALSE(announce("stray", 2000, true));
+    EXPECT_TRUE(announce("present", 1000, true));
+}
+
 // Guards against a replacement that is never taken up because the time of day was set back before it started.
 TEST_F(backend_identity_test, takes_up_a_replacement_that_was_born_at_an_earlier_time_of_day) {
     answering_ = "replacement";
