Keep the runs of a backend server that has signed off until they end

The message may also be late and concern an earlier life of the same server.

The agent now refuses new runs as for a shutdown, goes on reading the lists, and gives the server up when no run is left there, at the latest when their lease has expired. A later announcement takes the message back.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -38,6 +38,7 @@
     }
     check_owner_contact(now);
     check_timeouts(now);
+    forget_ended_backend(now);
     offer_orphans(now);
     forget_connection_requests(now);
     close_released_links(now);
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -153,6 +153,7 @@
     void process_candidate_reply(const backend_reply& reply, time_point now);
     void reject_candidate();
     void begin_backend_life(const std::string& id, std::uint64_t life, time_point now);
+    void forget_ended_backend(time_point now);
     void detach_backend(time_point now);
     void end_expired_detached_runs(time_point now);
     void complete_synchronization(time_point now);
@@ -210,6 +211,8 @@
     // The backend server has announced its capacity in this lifetime.
     bool has_profile_ = false;
     std::uint64_t last_sequence_ = 0;
+    // It has announced its end, and no announcement has come after that.
+    bool has_signed_off_ = false;
     // The latest announcement by another backend server or life, until it has answered an order.
     std::optional<backend_announcement> candidate_;
     time_point candidate_expires_at_{};
--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -27,6 +27,7 @@
     const bool started_draining = announcement.profile.draining && !backend_.draining;
     backend_ = announcement.profile;
     has_profile_ = true;
+    has_signed_off_ = false;
     if (is_first)
         record_decision("backend server announced", {},
                         {{"backend", backend_.id},
@@ -134,8 +135,19 @@
 void agent_core::left(const std::string& backend_id, time_point now) {
     if (backend_id != backend_.id)
         return;
-    record_decision("backend server left", {}, {{"backend", backend_id}});
-    detach_backend(now);
+    record_decision("backend server left", {},
+                    {{"backend", backend_id}, {"runs", static_cast<std::int64_t>(runs_.active_count())}});
+    backend_.draining = true;
+    has_signed_off_ = true;
+    refuse_queued(run_refusal::draining, now);
+    forget_ended_backend(now);
+}
+
+// A backend server that has signed off may still work on its runs, and its message may be late. It is given
+// up when it has no run left.
+void agent_core::forget_ended_backend(time_point now) {
+    if (has_signed_off_ && runs_.active_count() == 0)
+        detach_backend(now);
 }
 
 // Gives up the present backend server. It may still work, and another one at its address does not show
@@ -163,6 +175,7 @@
     is_raise_needed_ = false;
     backend_ = {};
     has_profile_ = false;
+    has_signed_off_ = false;
 }
 
 // Ends detached runs whose lease has expired. An unanswered start order may still reach another life of the
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -209,6 +209,15 @@
     EXPECT_EQ(last_reported_state(), run_state::running);
 }
 
+// Guards against an agent that holds on to a backend server that has ended: new orders would go nowhere.
+TEST_F(backend_identity_test, gives_up_a_backend_server_that_has_signed_off_and_ended) {
+    agent_.left("present", now_);
+    answering_ = "none";
+    keep_serving(milliseconds{1400});
+    EXPECT_TRUE(was_reported_ended());
+    EXPECT_EQ(agent_.backend_id(), "");
+}
+
 // Guards against a run that is lost although it goes on, when its backend server answers again in time.
 TEST_F(backend_identity_test, keeps_a_run_whose_backend_server_answers_again) {
     answering_ = "replacement";
