Repeat a stop order to a backend server that is taken up again

A cancelled task, or one whose owner was away, went on to its end when its agent gave its backend server up and took it up again in between: the record still said that the stop was ordered, while the order and its answer were gone.

Detaching a run forgets that its stop was ordered, so that the next tick after its return orders it again.

repeats_a_stop_order_to_a_backend_server_that_is_taken_up_again failed before.

--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -161,6 +161,7 @@
             ended.push_back(record.run);
         else if (!record.lease_expires_at) {
             runs_.detach(record, all_leases_expired_at_);
+            record.is_stop_ordered = false;
             next_detached_expiry_ = std::min(next_detached_expiry_, all_leases_expired_at_);
         }
     });
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -28,13 +28,14 @@
     std::string answering_ = "present";
     std::uint64_t answering_life_ = 1000;
     bool is_running_ = false;
+    int stops_ = 0;
 
     backend_identity_test() {
         agent_.link_opened(entry_link, now_);
         agent_.received(entry_link, entry_welcome{process_, {"entry", 6}, {"entry:1"}, {}, 0}, now_);
         announce("present", 1000);
         serve_orders();
-        start_run();
+        start_runs("job", 1);
         serve_orders();
         keep_serving(milliseconds{200});
     }
@@ -60,12 +61,13 @@
         return is_acknowledged;
     }
 
-    void start_run() {
+    void start_runs(const job_id& job, task_index tasks) {
         run_start_request message;
         message.owner = process_;
-        message.job = "job";
+        message.job = job;
         message.is_durable = false;
-        message.runs.push_back({0, 0, 0, 1, {3000, 64, 0}, {}, 0});
+        for (task_index i = 0; i < tasks; ++i)
+            message.runs.push_back({0, 0, i, 1, {3000, 64, 0}, {}, 0});
         pong();
         agent_.received(entry_link, message, now_);
         collect();
@@ -88,6 +90,8 @@
         reply.verdict = backend_verdict::accepted;
         if (std::holds_alternative<start_order>(order.action))
             is_running_ = true;
+        if (std::holds_alternative<stop_order>(order.action))
+            ++stops_;
         if (std::holds_alternative<hold_order>(order.action) && is_running_)
             reply.running.push_back({run_, {}, static_cast<std::uint32_t>(++percent_)});
         return reply;
@@ -114,12 +118,12 @@
         }
     }
 
-    std::optional<run_state> last_reported_state() const {
-        std::optional<run_state> state;
+    std::optional<run_report> last_report(const run_ref& run) const {
+        std::optional<run_report> result;
         const auto search = [&](const std::vector<run_report>& reports) {
             for (const run_report& report : reports) {
-                if (report.run == run_)
-                    state = report.state;
+                if (report.run == run)
+                    result = report;
             }
         };
         for (const work_message& message : messages_) {
@@ -128,7 +132,12 @@
             if (const auto* inventory = std::get_if<run_inventory>(&message))
                 search(inventory->reports);
         }
-        return state;
+        return result;
+    }
+
+    std::optional<run_state> last_reported_state() const {
+        const auto report = last_report(run_);
+        return report ? std::optional{report->state} : std::nullopt;
     }
 
     bool was_reported_ended() const {
@@ -168,6 +177,20 @@
     EXPECT_EQ(agent_.backend_life(), 1000U);
 }
 
+// Guards against a cancelled run that goes on: its stop order was lost with the connection to a backend
+// server that was given up and taken up again.
+TEST_F(backend_identity_test, repeats_a_stop_order_to_a_backend_server_that_is_taken_up_again) {
+    agent_.received(entry_link, run_stop_request{process_, {run_}}, now_);
+    collect();
+    answering_ = "replacement";
+    keep_serving(milliseconds{40});
+    answering_ = "present";
+    stops_ = 0;
+    announce("present", 1000);
+    keep_serving(milliseconds{400});
+    EXPECT_GT(stops_, 0);
+}
+
 // Guards against work for a backend server whose shutdown this agent has acknowledged for another agent.
 TEST_F(backend_identity_test, does_not_acknowledge_the_shutdown_of_another_backend_server) {
     EXPECT_FALSE(announce("stray", 2000, true));
