Count lease renewals that the lists do not show yet

A task could run twice when its backend server was given up and taken up again within a second: the order that reads the lists renews the lease of every run there, but a detached run kept the bound of the moment when it was detached. If the answer was lost, the run was reported as lapsed up to a second before its lease ended.

Until the lists of the present backend server are read, it may be the one that has the run, so its latest renewal counts.

counts_leases_renewed_before_the_lists_are_read failed before.

--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -179,22 +179,23 @@
     has_signed_off_ = false;
 }
 
-// Ends detached runs whose lease has expired. An unanswered start order may still reach another life of the
-// backend server, so such a run is kept until the lists of that life are read.
+// Ends detached runs whose lease has expired. While the lists of the present backend server have not been
+// read, it may be the one that has the run, and orders to it may have renewed the lease.
 void agent_core::end_expired_detached_runs(time_point now) {
     if (now < next_detached_expiry_)
         return;
     next_detached_expiry_ = time_point::max();
-    const bool may_start_late = !backend_.id.empty() && !is_synchronized_ && !is_unresponsive_;
+    const bool may_be_present = !backend_.id.empty() && !is_synchronized_;
     std::vector<run_ref> expired;
     runs_.for_each([&](const run_record& record) {
         if (!uses_capacity(record.state) || !record.lease_expires_at)
             return;
-        const bool is_kept = record.state == run_state::starting && may_start_late;
-        if (now >= *record.lease_expires_at && !is_kept)
+        const time_point expiry = may_be_present ? std::max(*record.lease_expires_at, all_leases_expired_at_)
+                                                 : *record.lease_expires_at;
+        if (now >= expiry)
             expired.push_back(record.run);
         else
-            next_detached_expiry_ = std::min(next_detached_expiry_, *record.lease_expires_at);
+            next_detached_expiry_ = std::min(next_detached_expiry_, expiry);
     });
     for (const run_ref& run : expired) {
         record_decision(
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -456,6 +456,8 @@
 // From now on the agent knows every started run, so the owners may rely on its inventories.
 void agent_core::complete_synchronization(time_point now) {
     is_synchronized_ = true;
+    if (next_detached_expiry_ != time_point::max())
+        next_detached_expiry_ = now;
     next_hold_ = now;
     record_decision("backend server is settled", {},
                     {{"backend", backend_.id},
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -177,6 +177,22 @@
     EXPECT_EQ(agent_.backend_life(), 1000U);
 }
 
+// Guards against a second run of a task whose lease was renewed when its backend server was taken up again.
+TEST_F(backend_identity_test, counts_leases_renewed_before_the_lists_are_read) {
+    answering_ = "replacement";
+    keep_serving(milliseconds{900});
+    announce("present", 1000);
+    // The order that renews the lease is carried out, and its answer is lost.
+    orders_.clear();
+    for (int i = 0; i < 25; ++i) {
+        now_ += milliseconds{20};
+        pong();
+        agent_.tick(now_);
+        collect();
+    }
+    EXPECT_EQ(last_reported_state(), run_state::running);
+}
+
 // Guards against a cancelled run that goes on: its stop order was lost with the connection to a backend
 // server that was given up and taken up again.
 TEST_F(backend_identity_test, repeats_a_stop_order_to_a_backend_server_that_is_taken_up_again) {
