Return a run at once whose start another backend server has refused

A start order that is answered by another backend server was certainly not executed, but its run was detached with all others and returned only when a lease of a second would have expired. Callers with a time limit of 1.5 s then get their answers late.

Start orders stay in flight over the change of the backend server. Such an answer to one of them, or the proof that it was never sent, returns the run as refused. Any other answer leaves it to the lease.

returns_runs_at_once_whose_start_another_backend_server_refused failed before.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -119,6 +119,7 @@
 
     // Answers of the backend server.
     void process_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
+    void process_former_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_stop_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_hold_reply(const sent_order& sent, const backend_reply& reply, bool is_raise,
                             time_point now);
@@ -246,6 +247,8 @@
     std::size_t starts_in_flight_ = 0;
 
     std::uint64_t last_order_id_ = 0;
+    // Orders up to this id were sent before the present backend server was taken up.
+    std::uint64_t last_former_order_id_ = 0;
     std::map<std::uint64_t, sent_order> orders_in_flight_;
     // Ids of the regular hold order and of the one that raises the token; 0 if none is in flight.
     std::uint64_t hold_order_id_ = 0;
--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -169,7 +169,11 @@
     for (const run_ref& run : ended)
         runs_.erase(run);
     is_synchronized_ = false;
-    std::erase_if(orders_in_flight_, [&](const auto& order) { return order.first != candidate_order_id_; });
+    std::erase_if(orders_in_flight_, [&](const auto& order) {
+        return order.first != candidate_order_id_ &&
+               !std::holds_alternative<start_order>(order.second.order.action);
+    });
+    last_former_order_id_ = last_order_id_;
     starts_in_flight_ = 0;
     hold_order_id_ = 0;
     raise_order_id_ = 0;
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -154,6 +154,10 @@
     }
     if (reply.clock_ms > 0)
         backend_clock_.observe(reply.clock_ms, now);
+    if (reply.id <= last_former_order_id_) {
+        process_former_start_reply(sent, reply, now);
+        return;
+    }
     const bool is_raise = reply.id == raise_order_id_;
     if (reply.id == hold_order_id_)
         hold_order_id_ = 0;
@@ -167,6 +171,7 @@
                          {"runs", static_cast<std::int64_t>(runs_.active_count())}},
                         true);
         detach_backend(now);
+        process_former_start_reply(sent, reply, now);
         return;
     }
     if (reply.life != 0 && reply.life != backend_.life) {
@@ -233,9 +238,9 @@
         end_run(*record, run_state::refused, run_refusal::invalid_order, now);
         return;
     case backend_verdict::not_sent:
-    case backend_verdict::other_instance:
         end_run(*record, run_state::refused, run_refusal::no_backend, now);
         return;
+    case backend_verdict::other_instance:
     case backend_verdict::no_answer:
         record->is_start_unanswered = true;
         is_raise_needed_ = true;
@@ -247,6 +252,19 @@
     }
 }
 
+// Returns a run at once whose start order to a former backend server was certainly not executed. Any other
+// answer leaves it to the lease, since the present lists do not show the run.
+void agent_core::process_former_start_reply(const sent_order& sent, const backend_reply& reply,
+                                            time_point now) {
+    const auto* start = std::get_if<start_order>(&sent.order.action);
+    run_record* record = start != nullptr ? runs_.find(start->run) : nullptr;
+    const bool is_refused =
+        reply.verdict == backend_verdict::other_instance || reply.verdict == backend_verdict::not_sent;
+    if (record != nullptr && is_refused && record->state == run_state::starting && record->lease_expires_at &&
+        record->start_token == sent.order.fencing_token)
+        end_run(*record, run_state::refused, run_refusal::no_backend, now);
+}
+
 void agent_core::process_stop_reply(const sent_order& sent, const backend_reply& reply, time_point now) {
     run_record* record = runs_.find(std::get<stop_order>(sent.order.action).run);
     if (record == nullptr || is_final(record->state) || reply.verdict == backend_verdict::accepted)
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -257,6 +257,24 @@
     EXPECT_EQ(agent_.backend_id(), "");
 }
 
+// Guards against callers that wait for a lease although the start of their task was refused with proof.
+TEST_F(backend_identity_test, returns_runs_at_once_whose_start_another_backend_server_refused) {
+    answering_ = "replacement";
+    messages_.clear();
+    start_runs("next", 2);
+    for (const backend_order& order : std::exchange(orders_, {})) {
+        if (std::holds_alternative<start_order>(order.action))
+            orders_.push_back(order);
+    }
+    ASSERT_EQ(orders_.size(), 2U);
+    serve_orders();
+    for (task_index i = 0; i < 2; ++i) {
+        const auto report = last_report({{"next", 0, 0, i}, 1});
+        ASSERT_TRUE(report);
+        EXPECT_EQ(report->state, run_state::refused);
+    }
+}
+
 // Guards against a run that is lost although it goes on, when its backend server answers again in time.
 TEST_F(backend_identity_test, keeps_a_run_whose_backend_server_answers_again) {
     answering_ = "replacement";
