Keep the clock estimates of two backend servers apart

The deadline of a lease comes from an estimate of the backend server's clock. It was also set by answers of another server at the same address, outlived a change of the server, and was set to 0 by a report without a reading, so that the next start orders were refused as late.

The estimate begins anew with each life and takes readings of the present server only.

keeps_its_clock_estimate_when_a_report_has_no_clock_reading failed before.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -118,6 +118,7 @@
     template <typename Other> void receive(link_number, const Other&, time_point) {}
 
     // Answers of the backend server.
+    void observe_clock(const backend_reply& reply, time_point now);
     void process_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_former_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_stop_reply(const sent_order& sent, const backend_reply& reply, time_point now);
--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -22,7 +22,8 @@
 
 void agent_core::apply_announcement(const backend_announcement& announcement, time_point now) {
     last_sequence_ = announcement.sequence;
-    backend_clock_.observe(announcement.clock_ms, now);
+    if (announcement.clock_ms > 0)
+        backend_clock_.observe(announcement.clock_ms, now);
     const bool is_first = !has_profile_;
     const bool started_draining = announcement.profile.draining && !backend_.draining;
     backend_ = announcement.profile;
@@ -123,6 +124,7 @@
     last_sequence_ = 0;
     unanswered_holds_ = 0;
     last_listed_end_ = 0;
+    backend_clock_ = {};
     backend_health_ = {};
     end_acknowledger_ = {};
     last_reply_ = {};
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -152,8 +152,6 @@
         process_candidate_reply(reply, now);
         return;
     }
-    if (reply.clock_ms > 0)
-        backend_clock_.observe(reply.clock_ms, now);
     if (reply.id <= last_former_order_id_) {
         process_former_start_reply(sent, reply, now);
         return;
@@ -178,8 +176,10 @@
         record_decision("another life of the backend server answered", {},
                         {{"backend", backend_.id}, {"life", static_cast<std::int64_t>(reply.life)}}, true);
         begin_backend_life(std::string{backend_.id}, reply.life, now);
+        observe_clock(reply, now);
         return;
     }
+    observe_clock(reply, now);
     // An agent that was suspended reads answers late, so the send time of the order counts.
     if (reply.life != 0)
         last_reply_ = std::max(last_reply_, sent.sent);
@@ -198,6 +198,11 @@
         process_hold_reply(sent, reply, is_raise, now);
 }
 
+void agent_core::observe_clock(const backend_reply& reply, time_point now) {
+    if (reply.clock_ms > 0)
+        backend_clock_.observe(reply.clock_ms, now);
+}
+
 void agent_core::process_start_reply(const sent_order& sent, const backend_reply& reply, time_point now) {
     if (starts_in_flight_ > 0)
         --starts_in_flight_;
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -48,7 +48,8 @@
     }
 
     // Returns whether the announcement is acknowledged.
-    bool announce(const std::string& id, std::uint64_t life, bool is_draining = false) {
+    bool announce(const std::string& id, std::uint64_t life, bool is_draining = false,
+                  std::int64_t clock_ms = 50000) {
         backend_profile profile;
         profile.id = id;
         profile.life = life;
@@ -56,7 +57,7 @@
         profile.zone = "zone";
         profile.capacity = {10000, 4096, 0};
         profile.draining = is_draining;
-        const bool is_acknowledged = agent_.announced({profile, ++sequence_, 50000}, now_);
+        const bool is_acknowledged = agent_.announced({profile, ++sequence_, clock_ms}, now_);
         collect();
         return is_acknowledged;
     }
@@ -213,6 +214,17 @@
     EXPECT_TRUE(announce("present", 1000, true));
 }
 
+// Guards against start orders that the backend server refuses as late after a report without a clock reading.
+TEST_F(backend_identity_test, keeps_its_clock_estimate_when_a_report_has_no_clock_reading) {
+    announce("present", 1000, false, 0);
+    start_runs("next", 1);
+    const auto start = std::find_if(orders_.begin(), orders_.end(), [](const backend_order& order) {
+        return std::holds_alternative<start_order>(order.action);
+    });
+    ASSERT_NE(start, orders_.end());
+    EXPECT_GT(start->lease_until_ms, 50000);
+}
+
 // Guards against a replacement that is never taken up because the time of day was set back before it started.
 TEST_F(backend_identity_test, takes_up_a_replacement_that_was_born_at_an_earlier_time_of_day) {
     answering_ = "replacement";
