Stop a run whose job was dropped while its agent was away

A caller's job could run twice at once: when the connections of an entry break, those to its agents and to its callers go together. The entry dropped the job without a way to send the stop. Its agent came back within the lease of the owner's contact and listed the run, which the entry ignored because it no longer knew the job; its answers to the agent's pings kept the run alive. The caller sends the job again after 1.3 s, to another entry that starts it anew.

A run that is listed for this process and whose job it does not know is now told to stop. Runs of non-durable jobs are owned by the process that started them, so no other entry can need it.

stops_a_run_whose_job_was_dropped_while_its_agent_was_away failed before.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -106,10 +106,17 @@
         return;
     }
     std::set<run_ref> listed;
+    run_stop_request obsolete{process_, {}};
     for (const run_report& report : message.reports) {
         listed.insert(report.run);
         apply_report(*agent, report, now);
+        // No other entry owns a run of this process. Its job was dropped while no stop could be sent.
+        if (message.owner == process_ && !is_final(report.state) &&
+            ledger_.find(report.run.task.job) == nullptr)
+            obsolete.runs.push_back(report.run);
     }
+    if (!obsolete.runs.empty())
+        output_.messages.emplace_back(link, std::move(obsolete));
     if (message.owner != session() && message.owner != process_) {
         record_succession_answer(agent->name, message.owner);
         is_session_update_needed_ = true;
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -522,6 +522,25 @@
     EXPECT_EQ(replies_.size(), 1U);
 }
 
+// Guards against a run that goes on while its caller sends the job to another entry: the stop was lost with
+// the connection to the agent.
+TEST_F(entry_core_test, stops_a_run_whose_job_was_dropped_while_its_agent_was_away) {
+    prepare();
+    connect_agent();
+    const caller_token caller = submit(job("a", false, 1));
+    const std::vector<run_ref> runs = take_starts();
+    entry_.link_closed(agent_link);
+    entry_.caller_left(caller, now_);
+    collect();
+    constexpr link_number link = 12;
+    connect_agent(link);
+    entry_.received(link, run_inventory{process_, {report_of(runs[0], run_state::running)}, 0}, now_, wall_);
+    collect();
+    const std::vector<run_stop_request> stops = take_messages<run_stop_request>(link);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].runs, runs);
+}
+
 // Guards against ends that are never acknowledged to a backend server because no entry knows their job, and
 // against acknowledging the end of a job that is still open at another entry.
 TEST_F(entry_core_test, looks_up_the_job_of_an_unknown_end_in_the_store) {
