Wait for the leases at the former backend server of a restarted agent

A task could run twice at once when an agent's process and its backend server were replaced within a second of each other. The new process reads the lists of the replacement and publishes its inventory, and the entry took each run that is missing in it for lost, although the former server works on under leases of the former process.

The entry knows which backend server the former process had. If the new process has another one, runs that it does not list are treated as lost only when all leases of the former process have expired. A restarted agent with the same backend server is as fast as before.

keeps_runs_at_the_former_backend_server_of_a_restarted_agent failed before.

--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -4,6 +4,7 @@
 #include "coordination/ledger_task.h"
 #include "coordination/robust_average.h"
 #include "state/agent_profile.h"
+#include "state/backend_profile.h"
 #include "state/run_ref.h"
 #include "state/time.h"
 
@@ -11,6 +12,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -40,6 +42,12 @@
     // Runs that this entry sent to the agent and that have not ended, each with the number of its start
     // message on this connection. The number is 0 for runs of an earlier connection.
     std::map<run_ref, std::uint64_t> runs;
+    // Set while the agent's process is a new one: the backend server of the former process, and when all
+    // leases that the former process requested have expired.
+    backend_profile former_backend;
+    time_point former_leases_expire_at{};
+    // Runs that the new process does not list, because they may be at the former backend server.
+    std::set<run_ref> runs_at_former_backend;
     // When the latest clock reading of the agent arrived. The agent stops runs after some time without
     // contact to this entry; that time starts when it sent the reading.
     time_point last_reading_at{};
@@ -51,6 +59,12 @@
     // its current state should have arrived.
     time_point backoff_until{};
 
+    // Whether runs that the agent does not list may go on at a backend server that its former process used.
+    bool may_have_former_runs(time_point now) const {
+        return now < former_leases_expire_at && !profile.backend.id.empty() &&
+               (profile.backend.id != former_backend.id || profile.backend.life != former_backend.life);
+    }
+
     // Reported free capacity minus the needs of queued runs and of start messages that the report does not
     // include.
     resources free() const {
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -32,7 +32,7 @@
         send_welcome(agent);
 }
 
-void entry_core::receive(link_number link, const agent_profile& profile, time_point) {
+void entry_core::receive(link_number link, const agent_profile& profile, time_point now) {
     agent_view& agent = agents_.find_or_add(profile.agent.name);
     const bool is_new_link = agent.link != link;
     const bool is_new_backend =
@@ -40,6 +40,12 @@
     if (profile.is_suspect != agent.profile.is_suspect)
         record_decision(profile.is_suspect ? "backend server is suspect" : "backend server is tried again",
                         {}, {{"agent", agent.name}}, profile.is_suspect);
+    const bool is_new_process =
+        agent.profile.agent.number != 0 && profile.agent.number != agent.profile.agent.number;
+    if (is_new_process && !agent.profile.backend.id.empty()) {
+        agent.former_backend = agent.profile.backend;
+        agent.former_leases_expire_at = now + limits_.run_lease_bound();
+    }
     agent.profile = profile;
     if (is_new_backend) {
         agent.slowness = robust_average{16};
@@ -128,8 +134,11 @@
     const std::map<run_ref, std::uint64_t> known_runs = agent->runs;
     for (const auto& [run, start] : known_runs) {
         const ledger_job* job = ledger_.find(run.task.job);
-        if (start <= message.received_starts && !listed.contains(run) &&
-            (job == nullptr || job->is_durable() == is_durable))
+        if (listed.contains(run))
+            agent->runs_at_former_backend.erase(run);
+        else if (start == 0 && agent->may_have_former_runs(now))
+            agent->runs_at_former_backend.insert(run);
+        else if (start <= message.received_starts && (job == nullptr || job->is_durable() == is_durable))
             mark_run_lost(*agent, run, now);
     }
     (is_durable ? agent->is_session_introduced : agent->is_introduced) = true;
@@ -304,10 +313,23 @@
     job.unacknowledged_ends.clear();
 }
 
+// Treats runs at the former backend server of a restarted agent as lost once their leases have certainly
+// expired.
+void entry_core::end_former_runs(agent_view& agent, time_point now) {
+    if (agent.runs_at_former_backend.empty() || now < agent.former_leases_expire_at)
+        return;
+    for (const run_ref& run : std::exchange(agent.runs_at_former_backend, {})) {
+        const auto found = agent.runs.find(run);
+        if (found != agent.runs.end() && found->second == 0)
+            mark_run_lost(agent, run, now);
+    }
+}
+
 // Treats the runs of a disconnected agent as lost once their leases have certainly expired.
 void entry_core::expire_unreachable_runs(time_point now) {
     const milliseconds lease = limits_.run_lease_bound();
     for (auto& [number, agent] : agents_.all()) {
+        end_former_runs(agent, now);
         if (agent.link != 0 || agent.runs.empty())
             continue;
         const std::map<run_ref, std::uint64_t> runs = agent.runs;
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -121,6 +121,7 @@
     void update_run_time_estimates(agent_view& agent, ledger_job& job, const run_report& report,
                                    const ledger_task& task);
     void process_finished_task(ledger_job& job, const task_ref& task, time_point now);
+    void end_former_runs(agent_view& agent, time_point now);
     void expire_unreachable_runs(time_point now);
     void mark_run_lost(agent_view& agent, const run_ref& run, time_point now);
     void acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number);
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -541,6 +541,31 @@
     EXPECT_EQ(stops[0].runs, runs);
 }
 
+// Guards against a second run of a task that goes on at the former backend server of an agent that restarted.
+TEST_F(entry_core_test, keeps_runs_at_the_former_backend_server_of_a_restarted_agent) {
+    prepare();
+    connect_agent();
+    submit(job("a", false, 1));
+    ASSERT_EQ(take_starts().size(), 1U);
+    entry_.link_closed(agent_link);
+    constexpr link_number link = 12;
+    entry_.link_opened(link, false, now_);
+    agent_profile profile;
+    profile.agent = {"agent", 2};
+    profile.accepts_runs = true;
+    profile.backend.id = "replacement";
+    profile.backend.life = 2000;
+    profile.backend.service = "service";
+    profile.backend.capacity = {10000, 4096, 0};
+    profile.reported_capacity.free = profile.backend.capacity;
+    entry_.received(link, profile, now_, wall_);
+    entry_.received(link, run_inventory{process_, {}, 0}, now_, wall_);
+    advance_time(entry_limits{}.max_run_lease);
+    EXPECT_TRUE(take_starts(link).empty());
+    advance_time(entry_limits{}.run_lease_bound() - entry_limits{}.max_run_lease);
+    EXPECT_EQ(take_starts(link).size(), 1U);
+}
+
 // Guards against ends that are never acknowledged to a backend server because no entry knows their job, and
 // against acknowledging the end of a job that is still open at another entry.
 TEST_F(entry_core_test, looks_up_the_job_of_an_unknown_end_in_the_store) {
