Acknowledge a shutdown only for a backend server that has answered

An executor whose own agent is away may report its shutdown to another agent, which acknowledged it while it had no backend server of its own to compare with. The executor's own agent then goes on starting tasks there.

A shutdown is acknowledged when the server has answered an order, which is usually a millisecond after its first report; it reports again after 1.5 s.

acknowledges_a_shutdown_only_after_an_answer failed before.

--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -17,7 +17,7 @@
         begin_backend_life(profile.id, profile.life, now);
     if (is_new || announcement.sequence > last_sequence_)
         apply_announcement(announcement, now);
-    return true;
+    return is_synchronized_ || !profile.draining;
 }
 
 void agent_core::apply_announcement(const backend_announcement& announcement, time_point now) {
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -225,6 +225,17 @@
     EXPECT_GT(start->lease_until_ms, 50000);
 }
 
+// Guards against the same at an agent that has no backend server yet.
+TEST_F(backend_identity_test, acknowledges_a_shutdown_only_after_an_answer) {
+    answering_ = "replacement";
+    answering_life_ = 2000;
+    is_running_ = false;
+    keep_serving(milliseconds{1400});
+    EXPECT_FALSE(announce("replacement", 2000, true));
+    serve_orders();
+    EXPECT_TRUE(announce("replacement", 2000, true));
+}
+
 // Guards against a replacement that is never taken up because the time of day was set back before it started.
 TEST_F(backend_identity_test, takes_up_a_replacement_that_was_born_at_an_earlier_time_of_day) {
     answering_ = "replacement";
