Give a candidate the longest time of an order to answer

The check of a reported backend server used the timeout that the present one had shown, 15 ms after a fast one. A replacement that answers in 16 to 60 ms was not taken up until an order to the former one failed.

gives_a_candidate_the_longest_time_to_answer failed before.

--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -66,7 +66,7 @@
     }
     hold_order hold;
     hold.renews = false;
-    candidate_order_id_ = send_order(hold, order_round_trip_.timeout(), now, candidate_->profile.id);
+    candidate_order_id_ = send_order(hold, limits_.max_order_timeout, now, candidate_->profile.id);
 }
 
 void agent_core::process_candidate_reply(const backend_reply& reply, time_point now) {
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -236,6 +236,15 @@
     EXPECT_TRUE(announce("replacement", 2000, true));
 }
 
+// Guards against a replacement that is never taken up because it answers more slowly than its predecessor.
+TEST_F(backend_identity_test, gives_a_candidate_the_longest_time_to_answer) {
+    announce("stray", 2000);
+    const auto check = std::find_if(orders_.begin(), orders_.end(),
+                                    [](const backend_order& order) { return order.backend_id == "stray"; });
+    ASSERT_NE(check, orders_.end());
+    EXPECT_EQ(check->timeout, agent_limits{}.max_order_timeout);
+}
+
 // Guards against a replacement that is never taken up because the time of day was set back before it started.
 TEST_F(backend_identity_test, takes_up_a_replacement_that_was_born_at_an_earlier_time_of_day) {
     answering_ = "replacement";
