Publish inventories when the backend server never answers

The runs of a former agent process were never reported as ended when its successor's backend server announced itself and then never answered an order: callers waited for their time limit, and kept jobs stood still. The successor published its first inventory only after reading lists, or without any backend server.

A silent backend server gets no renewals either, so its runs have ended when all leases that were requested have expired.

publishes_inventories_when_its_backend_server_never_answers failed before.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -31,11 +31,11 @@
 }
 
 void agent_core::tick(time_point now) {
-    // Without a backend server no lease is renewed, so no run of an earlier agent process can outlast the
-    // leases that were requested so far.
-    if (!are_inventories_published_ && backend_.id.empty() && now >= all_leases_expired_at_) {
+    // No lease is renewed without a backend server or at a silent one, so no run of an earlier agent process
+    // can outlast the leases that were requested so far.
+    const bool is_renewing = !backend_.id.empty() && !is_unresponsive_;
+    if (!are_inventories_published_ && !is_renewing && now >= all_leases_expired_at_)
         publish_inventories(now);
-    }
     check_owner_contact(now);
     check_timeouts(now);
     forget_ended_backend(now);
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -653,6 +653,26 @@
     EXPECT_TRUE(is_reported);
 }
 
+// Guards against runs of a former agent process that are never reported as ended, because their backend
+// server announces itself and then never answers.
+TEST_F(agent_core_test, publishes_inventories_when_its_backend_server_never_answers) {
+    connect();
+    announce(profile());
+    messages_.clear();
+    for (int i = 0; i < 100; ++i) {
+        send_pong();
+        advance_time(milliseconds{20});
+        for (auto hold = take_order<hold_order>(); hold; hold = take_order<hold_order>())
+            answer(*hold, backend_verdict::no_answer);
+    }
+    const bool is_published =
+        std::any_of(messages_.begin(), messages_.end(), [&](const work_message& message) {
+            const auto* inventory = std::get_if<run_inventory>(&message);
+            return inventory != nullptr && inventory->owner == process_;
+        });
+    EXPECT_TRUE(is_published);
+}
+
 // Guards against found runs that no owner claims and that would block new starts on the backend server.
 TEST_F(agent_core_test, stops_found_runs_that_no_owner_claims) {
     connect();
