Add no run that only an overtaken list shows

The regular hold order and the one that raises the fencing token are in flight at the same time on different connections, and answers may overtake each other. Either answer may be the older one: the regular one may have been on its way, and the raise reads the lists at once while the regular one waits for the next end. When the newer list showed a run's end, the agent reported it and forgot the run; the older list then showed the run at work, so the agent found it again, as after a restart. Nothing started until the next list, because the needs of a found run are not known. That list had no trace of the run: the warning, and a second end of the run, lapsed, was sent to all entries. Entries ignore it, since the task is done or has a newer run, so no task started twice by this.

A list now adds runs only if it was requested after the newest one was read. No time of the backend server is compared, because two lists may be of the same millisecond.

The three tests overtaken_list_test failed before: the run was found again, a start was held back, and the run was then in no list.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -253,6 +253,8 @@
     time_point next_hold_{};
     time_point next_raise_{};
     bool is_raise_needed_ = false;
+    // Id of the last order that was sent before the newest list was read.
+    std::uint64_t last_order_before_list_ = 0;
     // Highest end number that was listed.
     std::uint64_t last_listed_end_ = 0;
     // Number of consecutive hold orders whose verdict was neither accepted nor fenced.
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -311,9 +311,14 @@
         listed.insert(end.run);
         process_listed_end(end, now);
     }
+    // Answers may overtake each other. A list that was requested before the newest one was read may show a
+    // run whose end that one showed, so it adds no runs. The next list shows those that are there.
+    const bool may_be_older = hold.order.id <= last_order_before_list_;
+    last_order_before_list_ = last_order_id_;
     for (const listed_run& run : reply.running) {
         listed.insert(run.run);
-        process_listed_run(run, reply.clock_ms, now);
+        if (!may_be_older || runs_.find(run.run) != nullptr)
+            process_listed_run(run, reply.clock_ms, now);
     }
     if (!is_synchronized_ && hold.order.fencing_token == fencing_token_)
         complete_synchronization(now);
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -29,9 +29,12 @@
     std::vector<backend_order> orders_;
     std::vector<work_message> messages_;
     std::vector<link_number> links_to_close_;
+    std::set<std::string> decisions_;
 
     void collect() {
         agent_output output = agent_.take_output(now_);
+        for (const decision& made : output.decisions)
+            decisions_.emplace(made.what);
         std::move(output.orders.begin(), output.orders.end(), std::back_inserter(orders_));
         for (auto& [link, message] : output.messages)
             messages_.push_back(std::move(message));
@@ -235,6 +238,67 @@
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
 
+// Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
+// end was listed and the older one arrives last.
+class overtaken_list_test : public agent_core_test {
+protected:
+    // Run 0 works; the start order of run 1 gets no answer. The regular hold order and the one that raises
+    // the token are in flight.
+    void request_two_lists() {
+        connect_and_synchronize();
+        send_starts(1, false);
+        answer(*take_order<start_order>(), backend_verdict::accepted);
+        advance_time(milliseconds{5});
+        regular_ = *take_order<hold_order>();
+        send_starts(1, false, "other");
+        answer(*take_order<start_order>(), backend_verdict::no_answer);
+        raising_ = *take_order<hold_order>();
+        ASSERT_GT(raising_.fencing_token, regular_.fencing_token);
+    }
+
+    void expect_that_starts_go_on() {
+        EXPECT_FALSE(decisions_.contains("found a run at the backend server"));
+        send_starts(1, false, "later");
+        EXPECT_TRUE(take_order<start_order>());
+        advance_time(agent_limits{}.min_list_interval);
+        while (const auto hold = take_order<hold_order>())
+            answer(*hold, backend_verdict::accepted, {{run_of(0, "other"), {}, 0}});
+        EXPECT_FALSE(decisions_.contains("run is in no list of the backend server"));
+        EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+    }
+
+    const listed_end end_{1, run_of(0), run_state::done, {}};
+    backend_order regular_;
+    backend_order raising_;
+};
+
+TEST_F(overtaken_list_test, of_the_regular_order_brings_no_ended_run_back) {
+    request_two_lists();
+    answer(raising_, backend_verdict::accepted, {{run_of(0, "other"), {}, 0}}, {end_});
+    answer(regular_, backend_verdict::accepted, {{run_of(0), {}, 0}});
+    expect_that_starts_go_on();
+}
+
+TEST_F(overtaken_list_test, of_the_order_that_raises_the_token_brings_no_ended_run_back) {
+    request_two_lists();
+    answer(regular_, backend_verdict::accepted, {{run_of(0, "other"), {}, 0}}, {end_});
+    answer(raising_, backend_verdict::accepted, {{run_of(0), {}, 0}, {run_of(0, "other"), {}, 0}});
+    expect_that_starts_go_on();
+}
+
+// Guards against a run that is never found because an overtaken list showed it first.
+TEST_F(overtaken_list_test, delays_the_discovery_of_a_run_until_the_next_list) {
+    request_two_lists();
+    const std::vector<listed_run> runs{
+        {run_of(0), {}, 0}, {run_of(0, "other"), {}, 0}, {run_of(0, "unknown"), {}, 0}};
+    answer(raising_, backend_verdict::accepted, {runs[0], runs[1]});
+    answer(regular_, backend_verdict::accepted, runs);
+    EXPECT_FALSE(decisions_.contains("found a run at the backend server"));
+    advance_time(agent_limits{}.min_list_interval);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, runs);
+    EXPECT_TRUE(decisions_.contains("found a run at the backend server"));
+}
+
 // Guards against an agent that spends more work on messages than on runs. The start of a run is reported with
 // the next message, and not at all if the run has ended by then. An end is reported at once.
 TEST_F(agent_core_test, reports_a_started_run_with_the_next_message) {
