Stop a found run that a newer run has replaced

An agent that has restarted, or that has returned to its backend server, offers the runs that it finds there.

The claim stays, because only a claimed run has known needs and an owner that records its end. Ended runs are acknowledged as before.

replaced_run_test.is_claimed_and_stopped failed before; the two tests beside it, on the acknowledgement and on the newest run, passed before and after.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -130,10 +130,12 @@
 }
 
 // A restarted agent has found these runs on its backend server. Claims those that belong to jobs of this
-// entry.
+// entry, and stops those that work on although their task is done or has a newer run.
 void entry_core::claim_orphans(agent_view& agent, const run_inventory& orphans, time_point now) {
     run_claim durable_claim{session(), true, {}};
     run_claim non_durable_claim{process_, false, {}};
+    run_stop_request durable_stop{session(), {}};
+    run_stop_request non_durable_stop{process_, {}};
     for (const run_report& report : orphans.reports) {
         ledger_job* job = ledger_.find(report.run.task.job);
         if (job == nullptr) {
@@ -146,7 +148,8 @@
         }
         const ledger_task* task = job_ledger::find_task(*job, report.run.task);
         if (task != nullptr && !is_final(report.state) &&
-            (task->phase == task_phase::done || report.run.run < task->run))
+            (task->phase == task_phase::done || report.run.run < task->run)) {
+            (job->is_durable() ? durable_stop : non_durable_stop).runs.push_back(report.run);
             record_decision("agent found a run that a newer run has replaced", report.run.task.job,
                             {{"step", report.run.task.step},
                              {"task", report.run.task.index},
@@ -154,6 +157,7 @@
                              {"newest_run", static_cast<std::int64_t>(task->run)},
                              {"agent", agent.name}},
                             true);
+        }
         if (report.run.task.step < job->record->plan.steps.size())
             (job->is_durable() ? durable_claim : non_durable_claim)
                 .runs.push_back({report.run, job->step(report.run.task.step).task_needs});
@@ -168,6 +172,10 @@
         if (!message->runs.empty())
             output_.messages.emplace_back(agent.link, std::move(*message));
     }
+    for (run_stop_request* message : {&durable_stop, &non_durable_stop}) {
+        if (!message->runs.empty())
+            output_.messages.emplace_back(agent.link, std::move(*message));
+    }
 }
 
 void entry_core::process_orphan_check(std::uint64_t question, const store_reply& answer, time_point now) {
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -522,6 +522,85 @@
     EXPECT_EQ(replies_.size(), 1U);
 }
 
+// Guards against a found run that works on beside the newer run of its task.
+class replaced_run_test : public entry_core_test {
+protected:
+    static constexpr link_number other_link = 12;
+
+    // Run 1 counts as lapsed, so run 2 starts at the other agent. Then the first agent finds run 1.
+    void find_replaced_run(run_state state = run_state::running) {
+        prepare();
+        connect_agent();
+        submit(job("a", true, 1));
+        serve_store();
+        const std::vector<run_ref> first = take_starts();
+        ASSERT_EQ(first.size(), 1U);
+        replaced_ = first[0];
+        connect_agent(other_link, "other");
+        report(report_of(replaced_, run_state::lapsed));
+        advance_time(milliseconds{30});
+        const std::vector<run_ref> second = take_starts(other_link);
+        ASSERT_EQ(second.size(), 1U);
+        newest_ = second[0];
+        offer(replaced_, state);
+    }
+
+    void offer(const run_ref& run, run_state state) {
+        run_report found = report_of(run, state);
+        if (is_final(state)) {
+            found.end_number = 1;
+            found.backend_life = 1000;
+            found.awaits_record = true;
+        }
+        entry_.received(agent_link, run_inventory{{}, {found}, 0}, now_, wall_);
+        collect();
+    }
+
+    void expect_acknowledgement() {
+        advance_time(entry_limits{}.progress_delay);
+        serve_store();
+        const std::vector<recorded_run_ends> recorded = take_messages<recorded_run_ends>();
+        ASSERT_EQ(recorded.size(), 1U);
+        EXPECT_EQ(recorded[0].end_numbers, std::vector<std::uint64_t>{1});
+    }
+
+    run_ref replaced_;
+    run_ref newest_;
+};
+
+TEST_F(replaced_run_test, is_claimed_and_stopped) {
+    find_replaced_run();
+    EXPECT_EQ(take_messages<run_claim>().size(), 1U);
+    const std::vector<run_stop_request> stops = take_messages<run_stop_request>();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].runs, std::vector<run_ref>{replaced_});
+    EXPECT_EQ(stops[0].owner, entry_.session());
+    run_report stopped = report_of(replaced_, run_state::stopped);
+    stopped.end_number = 1;
+    stopped.backend_life = 1000;
+    stopped.awaits_record = true;
+    report(stopped);
+    EXPECT_TRUE(take_starts().empty());
+    EXPECT_TRUE(take_starts(other_link).empty());
+    expect_acknowledgement();
+}
+
+TEST_F(replaced_run_test, that_has_ended_is_acknowledged_and_not_stopped) {
+    find_replaced_run(run_state::done);
+    EXPECT_TRUE(take_messages<run_stop_request>().empty());
+    expect_acknowledgement();
+}
+
+// Guards against stopping the only run of a task.
+TEST_F(replaced_run_test, is_not_the_newest_run_of_its_task) {
+    find_replaced_run();
+    take_messages<run_stop_request>();
+    entry_.received(other_link, run_inventory{{}, {report_of(newest_, run_state::running)}, 0}, now_, wall_);
+    collect();
+    EXPECT_EQ(take_messages<run_claim>(other_link).size(), 1U);
+    EXPECT_TRUE(take_messages<run_stop_request>(other_link).empty());
+}
+
 // Guards against ends that are never acknowledged to a backend server because no entry knows their job, and
 // against acknowledging the end of a job that is still open at another entry.
 TEST_F(entry_core_test, looks_up_the_job_of_an_unknown_end_in_the_store) {
