Let answers overtake each other in the random histories

With slow_answer_fraction a part of the answers arrives up to 40 ms late; an answer after the timeout of its order is not read. Without the option no random number is drawn.

--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -60,6 +60,9 @@
         // may be carried out seconds later.
         double late_order_fraction = 0;
         double late_write_fraction = 0;
+        // Fraction of the answers of backend servers that arrive up to 40 ms late, so that answers overtake
+        // each other.
+        double slow_answer_fraction = 0;
         // Number of random faults that concern the identity of backend servers: replacements under another id
         // or life, and messages that were delayed or sent by others.
         int identity_faults = 0;
@@ -777,8 +780,8 @@
             schedule(deadline, [answer, failed_reply] { answer(failed_reply); });
             return;
         }
-        schedule(since_start() + milliseconds{random_below(2)}, [this, name, order, answer, deadline,
-                                                                 failed_reply] {
+        schedule(since_start() + milliseconds{random_below(2)}, [this, name, order, deadline, failed_reply,
+                                                                 answer = delayed(answer, deadline)] {
             agent_node* target = find_agent(name);
             if (now_ < backend_down_until_[name]) {
                 answer(failed_reply);
@@ -804,6 +807,24 @@
         });
     }
 
+    // Delays some of the answers. An answer after the deadline is not read.
+    std::function<void(const backend_reply&)> delayed(std::function<void(const backend_reply&)> answer,
+                                                      milliseconds deadline) {
+        if (options_.slow_answer_fraction == 0)
+            return answer;
+        return [this, answer = std::move(answer), deadline](const backend_reply& reply) {
+            const bool is_slow = chance(options_.slow_answer_fraction);
+            const milliseconds arrival = since_start() + milliseconds{is_slow ? random_below(40) : 0};
+            backend_reply read = reply;
+            if (arrival > deadline) {
+                read = {};
+                read.id = reply.id;
+                read.verdict = backend_verdict::no_answer;
+            }
+            schedule(std::min(arrival, std::max(deadline, since_start())), [answer, read] { answer(read); });
+        };
+    }
+
     // Answers a hold order at the next end of a run, or when its wait time is over. It fails if the backend
     // server crashes meanwhile.
     void wait_for_update(const std::string& name, const backend_order& order,
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -49,6 +49,15 @@
     run_histories(chosen);
 }
 
+// Guards against violations by answers of backend servers that overtake each other or come too late.
+TEST(dispatch_histories, keep_the_guarantees_when_answers_overtake_each_other) {
+    dispatch_simulation::options chosen;
+    chosen.slow_answer_fraction = 0.3;
+    chosen.late_order_fraction = 0.05;
+    chosen.jobs = 300;
+    run_histories(chosen);
+}
+
 // Guards against violations by writes that get no answer and are carried out by the store, some of them
 // seconds later.
 TEST(dispatch_histories, keep_the_guarantees_with_late_writes) {
