Limit the element counts and the nesting of MessagePack from outside

Callers of an entry lose what it holds when the process ends, and entries and agents read the members again right after a restart. Five bytes under a key of this project (an array that announces 4,294,967,295 elements) ended each reader of the list: the library allocates the announced elements before it reads them, and std::bad_alloc is neither an unpack_error nor a type_error, so it left decode_record() and io_context::run().

Each element takes at least one byte, so a count above the number of bytes is malformed. Both faults are now unpack errors, so the value is text of another writer, which names no member. The frames of peers get the same limits.

Evidence: store_codec.one_odd_value_among_the_members_hides_no_other decodes the bytes of a listing with an odd value between two entries. Without the limits it fails with std::bad_alloc; with them all eight values leave both entries in the directory.

--- a/protocol/control_codec.cpp
+++ b/protocol/control_codec.cpp
@@ -3,6 +3,7 @@
 #include "protocol/jsonrpc_client.h"
 #include "protocol/member_json.h"
 #include "protocol/msgpack_adaptor.h"
+#include "protocol/unpack_limits.h"
 
 #include <array>
 #include <optional>
@@ -38,7 +39,8 @@
 
 std::variant<control_message, decode_error> decode_periodic(std::string_view bytes) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle =
+            msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, unpack_limits(bytes.size()));
         control_message message;
         handle.get().convert(message);
         return message;
--- a/protocol/record_codec.h
+++ b/protocol/record_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/msgpack_adaptor.h"
+#include "protocol/unpack_limits.h"
 
 #include <optional>
 #include <string>
@@ -26,7 +27,8 @@
         const auto refer = [](msgpack::type::object_type, std::size_t, void*) {
             return true;
         };
-        const msgpack::object read = msgpack::unpack(zone, bytes.data(), bytes.size(), refer);
+        const msgpack::object read =
+            msgpack::unpack(zone, bytes.data(), bytes.size(), refer, nullptr, unpack_limits(bytes.size()));
         T value;
         read.convert(value);
         return value;
--- a/protocol/task_codec.cpp
+++ b/protocol/task_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/task_codec.h"
 
 #include "protocol/msgpack_adaptor.h"
+#include "protocol/unpack_limits.h"
 
 namespace persimmonstile {
 
@@ -12,7 +13,8 @@
 
 std::variant<task_message, decode_error> decode_task_message(std::string_view bytes) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle =
+            msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, unpack_limits(bytes.size()));
         task_message message;
         handle.get().convert(message);
         return message;
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -1,3 +1,5 @@
+#include "coordination/member_directory.h"
+#include "coordination/store_keys.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/order_codec.h"
@@ -7,6 +9,7 @@
 #include "protocol/record_codec.h"
 
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -106,6 +109,51 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(std::get<item_found>(reply).item.value));
 }
 
+// A listing of the members with one odd value between two entries.
+std::string listing_with(const std::string& odd_value) {
+    const auto item = [](const std::string& name, const std::string& value) {
+        return json{
+            {"Key", entry_key(name)}, {"Value", value}, {"Revision", 4}, {"Created", 4}, {"Lease", 0}};
+    };
+    const auto entry = [&](const std::string& name, const std::string& address) {
+        return item(name, encode_base64(encode_record(stored_record{entry_record{{name, 1}, address, "z"}})));
+    };
+    return json{{"items", {entry("a", "10.0.0.1:7720"), item("b", odd_value), entry("c", "10.0.0.3:7720")}},
+                {"HasMore", false},
+                {"StoreRevision", 9}}
+        .dump();
+}
+
+// Announces a quarter of a million elements on each of many levels.
+std::string nested_arrays(std::size_t depth) {
+    std::string bytes;
+    for (std::size_t i = 0; i < depth; ++i)
+        bytes += std::string("\xdd\x00\x03\xff\xff", 5);
+    return bytes;
+}
+
+// Guards against the end of every process that lists the members when another writer has left an odd value.
+TEST(store_codec, one_odd_value_among_the_members_hides_no_other) {
+    const std::vector<std::string> odd_values{
+        "", "not base64", encode_base64("text"),
+        // Arrays, a map and a text that announce more elements than there are.
+        encode_base64(std::string("\xdd\xff\xff\xff\xff", 5)),
+        encode_base64(std::string("\xdf\xff\xff\xff\xff", 5)),
+        encode_base64(std::string("\xdb\xff\xff\xff\xff", 5)), encode_base64(nested_arrays(50000)),
+        encode_base64(std::string(500000, '\x91'))};
+    for (const std::string& value : odd_values) {
+        const store_reply reply =
+            decode_store_answer(store_list{member_prefix, {}}, make_answer(200, listing_with(value)));
+        const auto* listing = std::get_if<item_listing>(&reply);
+        ASSERT_NE(listing, nullptr) << value.substr(0, 40);
+        member_directory members;
+        members.reset(listing->items, time_point{});
+        EXPECT_NE(members.find_entry("a"), nullptr) << value.substr(0, 40);
+        EXPECT_EQ(members.find_entry("b"), nullptr) << value.substr(0, 40);
+        EXPECT_NE(members.find_entry("c"), nullptr) << value.substr(0, 40);
+    }
+}
+
 // ---- Orders ----
 
 TEST(order_codec, formats_and_parses_task_names) {
