--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -268,6 +268,14 @@
     }
 }
 
+// Guards against a caller that gets no answer because the error text cannot be written as JSON.
+TEST(job_codec, error_text_has_no_bytes_of_the_body) {
+    const auto decoded = decode_job("{\"Spec\":\"\xff\"}");
+    const auto* error = std::get_if<job_decode_error>(&decoded);
+    ASSERT_NE(error, nullptr);
+    EXPECT_NO_THROW(static_cast<void>(json(error->detail).dump())) << error->detail;
+}
+
 TEST(job_codec, validates_job_ids) {
     EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
     EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
