--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -224,6 +224,22 @@
     EXPECT_EQ(decode_order_answer(order, http_answer{}).verdict, backend_verdict::not_sent);
 }
 
+// A value that nests as deeply as a body of 1 MiB can.
+std::string deep_value() {
+    constexpr std::size_t depth = 500'000;
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Guards against the end of the agent when the answer to an order exhausts the stack.
+TEST(order_codec, a_deeply_nested_answer_is_no_list) {
+    backend_order order;
+    order.action = hold_order{};
+    const backend_reply reply = decode_order_answer(
+        order, make_answer(200, R"({"ClockMs":1,"Running":[],"Ended":[],"x":)" + deep_value() + "}"));
+    EXPECT_EQ(reply.clock_ms, 0);
+    EXPECT_EQ(reply.life, 0U);
+}
+
 // Guards against decisions that are based on partly decoded lists.
 TEST(order_codec, treats_malformed_lists_as_no_answer) {
     backend_order order;
@@ -311,6 +327,14 @@
     }
 }
 
+// Guards against a deeply nested announcement that takes more memory than an agent has.
+TEST(registration_codec, ignores_a_deeply_nested_report) {
+    const std::string report =
+        R"({"Service":"s","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":1},"SeqNo":1,"born":1,"x":)" +
+        deep_value() + "}";
+    EXPECT_FALSE(decode_announcement("i-1", report));
+}
+
 // ---- Operators ----
 
 store_item text_item(const std::string& key, const std::string& text, std::uint64_t revision) {
