--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -250,6 +250,25 @@
     EXPECT_TRUE(reply.running.empty());
 }
 
+// Guards against runs that are reported as ended, and started again, because an answer cannot be read.
+TEST(order_codec, an_answer_without_both_lists_does_not_show_that_runs_have_ended) {
+    backend_order order;
+    order.action = hold_order{};
+    const auto verdict = [&](const std::string& body) {
+        return decode_order_answer(order, make_answer(200, body)).verdict;
+    };
+    for (const std::string body :
+         {"", "[]", "{", "\xff", "{}", R"({"ClockMs":1})", R"({"ClockMs":1,"Running":[]})",
+          R"({"ClockMs":1,"Ended":[]})", R"({"ClockMs":1,"Running":7,"Ended":[]})",
+          R"({"ClockMs":1,"Running":{},"Ended":[]})", R"({"ClockMs":1,"Running":[],"Ended":[],"x":)"}) {
+        EXPECT_EQ(verdict(body), backend_verdict::no_answer) << body;
+    }
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":[],"Ended":[],"x":)" + deep_value() + "}"),
+              backend_verdict::no_answer);
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":[],"Ended":[]})"), backend_verdict::accepted);
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":null,"Ended":null})"), backend_verdict::accepted);
+}
+
 // ---- Jobs ----
 
 TEST(job_codec, reads_steps) {
