--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -269,6 +269,35 @@
     EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":null,"Ended":null})"), backend_verdict::accepted);
 }
 
+// Guards against runs and ends that an impossible number is mistaken for.
+TEST(order_codec, treats_impossible_numbers_as_no_answer) {
+    backend_order order;
+    order.action = hold_order{};
+    const auto decode = [&](const std::string& clock, const std::string& life, const std::string& run,
+                            const std::string& percent, const std::string& end) {
+        return decode_order_answer(
+            order, make_answer(200, R"({"ClockMs":)" + clock + R"(,"born":)" + life +
+                                        R"(,"Running":[["5c0e7a21d94b36f8.0.1.17",)" + run + R"(,"",)" +
+                                        percent + R"(,0]],"Ended":[[)" + end +
+                                        R"(,"5c0e7a21d94b36f8.0.1.9",)" + run + R"(,"done",""]]})"));
+    };
+    ASSERT_EQ(decode("1", "2", "3", "4", "5").verdict, backend_verdict::accepted);
+    EXPECT_EQ(decode("1", "2", "3", "99.5", "5").running.at(0).percent, 99U);
+    for (const std::string odd : {"-1", "1e300", "-1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+        const backend_reply replies[] = {decode(odd, "2", "3", "4", "5"), decode("1", odd, "3", "4", "5"),
+                                         decode("1", "2", odd, "4", "5"), decode("1", "2", "3", odd, "5"),
+                                         decode("1", "2", "3", "4", odd)};
+        for (const backend_reply& reply : replies) {
+            EXPECT_EQ(reply.verdict, backend_verdict::no_answer) << odd;
+            EXPECT_EQ(reply.clock_ms, 0) << odd;
+            EXPECT_TRUE(reply.running.empty() && reply.ended.empty()) << odd;
+        }
+    }
+    EXPECT_EQ(decode("1", "2", "3", "4", "0").verdict, backend_verdict::no_answer);
+    EXPECT_EQ(decode("1", "2", "3.5", "4", "5").verdict, backend_verdict::no_answer);
+    EXPECT_FALSE(parse_task_name("5c0e7a21d94b36f8.0.1.4294967313"));
+}
+
 // ---- Jobs ----
 
 TEST(job_codec, reads_steps) {
