--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -375,11 +375,64 @@
     }
 }
 
+json valid_report() {
+    return json::parse(
+        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":8,"State":"ready","ColdLeftMs":0,
+            "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"],"ClockMs":482113,"SeqNo":4,"born":17})");
+}
+
+// Guards against an odd report of another writer that is used, or that keeps valid ones from being used.
+TEST(registration_codec, one_odd_report_names_no_backend_server_and_hides_no_other) {
+    std::vector<std::string> odd_reports{"",     "7", "[]",       "\"text\"",
+                                         "null", "{", "\xff\xfe", std::string(1 << 20, '[')};
+    const auto add = [&](const std::string& path, const std::string& text) {
+        json report = valid_report();
+        report[json::json_pointer{path}] = "placeholder";
+        std::string body = report.dump();
+        const std::string placeholder = "\"placeholder\"";
+        odd_reports.push_back(body.replace(body.find(placeholder), placeholder.size(), text));
+    };
+    for (const char* name : {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdLeftMs",
+                             "Capacity", "SeqNo", "born"}) {
+        json report = valid_report();
+        report.erase(name);
+        odd_reports.push_back(report.dump());
+        for (const char* text : {"null", "true", "[]", "{}", "[[[[7]]]]"})
+            add(std::string{"/"} + name, text);
+    }
+    for (const char* path : {"/Slots", "/ColdLeftMs", "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu",
+                             "/ClockMs", "/SeqNo", "/born"}) {
+        for (const char* text : {"-1", "1e400", "-1e300", "\"8\""})
+            add(path, text);
+    }
+    for (const char* path :
+         {"/Slots", "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu", "/ClockMs", "/SeqNo", "/born"}) {
+        for (const char* text :
+             {"1e300", "0.5", "9223372036854775807", "18446744073709551615", "99999999999999999999"})
+            add(path, text);
+    }
+    for (const char* text :
+         {"\"10.0.0.9\"", "\"10.0.0.9:\"", "\"10.0.0.9:0\"", "\"10.0.0.9:65536\"", "\"10.0.0.9:-1\"",
+          "\"10.0.0.9:99999999999999999999\"", "\"10.0.0.999:80\"", "\":80\"", "\"\""})
+        add("/Address", text);
+    for (const char* text : {"\"resting\"", "\"\""})
+        add("/State", text);
+    for (const char* text : {"7", "[7]", "{}"})
+        add("/Labels", text);
+    add("/x", std::string(40, '[') + std::string(40, ']'));
+
+    const std::string valid = valid_report().dump();
+    for (const std::string& report : odd_reports) {
+        EXPECT_FALSE(decode_announcement("i-1", report)) << report.substr(0, 300);
+        ASSERT_TRUE(decode_announcement("i-2", valid)) << report.substr(0, 300);
+    }
+}
+
 // Guards against a deeply nested announcement that takes more memory than an agent has.
 TEST(registration_codec, ignores_a_deeply_nested_report) {
-    const std::string report =
-        R"({"Service":"s","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":1},"SeqNo":1,"born":1,"x":)" +
-        deep_value() + "}";
+    std::string report = valid_report().dump();
+    ASSERT_TRUE(decode_announcement("i-1", report));
+    report.replace(report.size() - 1, 1, ",\"x\":" + deep_value() + "}");
     EXPECT_FALSE(decode_announcement("i-1", report));
 }
 
