Let the soak replace backend servers and send stray reports

A crash may now bring another id, also one born earlier, and a backend server may be replaced while its runs go on until their lease ends. For some seconds an agent may get, every 2.4 to 2.85 s, reports of a former boot, of another machine's backend server or of another writer, with an earlier or later time of birth; or a message of leaving of one that works on. These messages are no faults to the check, so promises bound to a time hold beside them. A violation is logged when it is seen, and two runs at once with the age of the first.

An acknowledgement of a drain no longer counts for the next life under another id, which does not drain.

--- a/soak/fault_series.cpp
+++ b/soak/fault_series.cpp
@@ -26,6 +26,15 @@
 // Planned work is undone after this time, which is longer than the bounds of its promises.
 constexpr milliseconds planned_length{9000};
 
+// Stray reports arrive this often, for a time that is longer than a lease.
+constexpr milliseconds shortest_report_gap{2400};
+constexpr milliseconds longest_report_gap{2850};
+constexpr milliseconds shortest_stray{2000};
+constexpr milliseconds longest_stray{9000};
+// How far apart times of birth may be when the time of day has been set.
+constexpr milliseconds shortest_step{1};
+constexpr milliseconds longest_step{3600000};
+
 constexpr double lost_orders = 0.3;
 constexpr double lost_writes = 0.3;
 constexpr double failing_runs = 0.5;
@@ -94,10 +103,11 @@
 }
 
 void fault_series::begin_one() {
-    constexpr std::array kinds{&fault_series::harm_process, &fault_series::harm_process,
-                               &fault_series::harm_link,    &fault_series::harm_link,
-                               &fault_series::harm_store,   &fault_series::harm_backend,
-                               &fault_series::harm_backend, &fault_series::harm_many};
+    constexpr std::array kinds{
+        &fault_series::harm_process,        &fault_series::harm_process, &fault_series::harm_link,
+        &fault_series::harm_link,           &fault_series::harm_store,   &fault_series::harm_backend,
+        &fault_series::harm_backend,        &fault_series::harm_many,    &fault_series::disturb_registration,
+        &fault_series::disturb_registration};
     (this->*kinds[pick(kinds.size())])();
 }
 
@@ -273,42 +283,130 @@
     const milliseconds length = time_between(shortest_fault, longest_fault);
     order_faults faults;
     std::string kind;
-    switch (pick(6)) {
+    switch (pick(7)) {
     case 0:
-    case 1: {
-        fault_proxy& way = *world_.agents()[index].to_backend;
-        record("backend crash", name);
-        begin(
-            "backend crash", length,
-            [&] {
-                server.crash(length);
-                way.reset_open();
-            },
-            [] {});
-        return;
-    }
-    case 2:
         kind = "late orders";
         faults.late_orders = lost_orders;
         break;
-    case 3:
+    case 1:
         kind = "failing tasks";
         faults.failing = failing_runs;
         break;
-    case 4:
+    case 2:
         kind = "stalled tasks";
         faults.is_hanging = true;
         break;
-    default:
+    case 3:
         kind = "refused starts";
         faults.is_refusing = true;
         break;
+    default:
+        end_backend(index, length);
+        return;
     }
     record(kind, name);
     begin(
         kind, length, [&] { server.set_faults(faults); }, [&server] { server.set_faults({}); });
 }
 
+void fault_series::end_backend(std::size_t index, milliseconds length) {
+    order_server& server = world_.backend(index);
+    const backend_profile former = server.backend().profile();
+    former_[index] = former;
+    std::string kind;
+    switch (pick(3)) {
+    case 0:
+        kind = "backend crash";
+        server.crash(length);
+        break;
+    case 1:
+        kind = "backend crash, new id";
+        server.crash(length, next_id(index), next_life(former.life));
+        break;
+    default:
+        kind = "backend replaced";
+        server.replace(next_id(index), next_life(former.life));
+        if (pick(2) == 0)
+            send_stray_reports(server, former);
+        break;
+    }
+    record(kind, former.id);
+    begin(
+        kind, length, [&] { world_.agents()[index].to_backend->reset_open(); }, [] {});
+}
+
+// Messages to an agent that are late or not of the backend server at its address. They harm nothing, so all
+// promises hold beside them.
+void fault_series::disturb_registration() {
+    const std::size_t index = pick(world_.backend_count());
+    order_server& server = world_.backend(index);
+    backend_profile sender = server.backend().profile();
+    const auto shift = static_cast<std::uint64_t>(time_between(shortest_step, longest_step).count());
+    const std::uint64_t other_life = pick(2) == 0 ? sender.life - shift : sender.life + shift;
+    switch (pick(4)) {
+    case 0:
+        record("stray leave", sender.id);
+        server.send_leave(sender.id);
+        return;
+    case 1:
+        record("late reports", sender.id);
+        if (const auto former = former_.find(index); former != former_.end()) {
+            sender = former->second;
+        } else {
+            sender.id = next_id(index);
+            sender.life = other_life;
+        }
+        break;
+    case 2:
+        record("reports of another machine", sender.id);
+        sender = world_.backend((index + 1) % world_.backend_count()).backend().profile();
+        sender.life = pick(2) == 0 ? sender.life : other_life;
+        break;
+    default:
+        record("reports of another writer", sender.id);
+        sender.id = next_id(index);
+        sender.life = other_life;
+        sender.service = "unknown";
+        break;
+    }
+    send_stray_reports(server, sender);
+}
+
+void fault_series::send_stray_reports(order_server& server, const backend_profile& sender) {
+    ++open_faults_;
+    log_event(log_level::info, component, "stray reports begin",
+              {{"sender", sender.id}, {"present", server.backend().profile().id}});
+    const milliseconds gap = time_between(shortest_report_gap, longest_report_gap);
+    const time_point until = clock_.now() + time_between(shortest_stray, longest_stray);
+    const auto clock_ms = static_cast<std::int64_t>(1 + pick(1000000));
+    repeat_report(server, {sender, 1 + pick(1000), clock_ms}, gap, until);
+}
+
+void fault_series::repeat_report(order_server& server, backend_announcement report, milliseconds gap,
+                                 time_point until) {
+    if (clock_.now() >= until) {
+        --open_faults_;
+        return;
+    }
+    server.send_report(report);
+    ++report.sequence;
+    report.clock_ms += gap.count();
+    after(gap, [this, &server, report = std::move(report), gap, until] {
+        repeat_report(server, report, gap, until);
+    });
+}
+
+std::string fault_series::next_id(std::size_t index) {
+    return "backend-" + std::to_string(index + 1) + '-' + std::to_string(++last_id_);
+}
+
+// The time of birth of a new life. The time of day may have been set back meanwhile.
+std::uint64_t fault_series::next_life(std::uint64_t former) {
+    if (pick(3) == 0)
+        return former - static_cast<std::uint64_t>(time_between(shortest_step, longest_step).count());
+    return static_cast<std::uint64_t>(unix_time_ms(clock_.wall_now()));
+}
+
 // The harder cases: much of the deployment at once, or one after the other.
 void fault_series::harm_many() {
     const auto kill_all = [](std::vector<daemon_node>& nodes) {
--- a/soak/fault_series.h
+++ b/soak/fault_series.h
@@ -45,7 +45,13 @@
     void harm_link();
     void harm_store();
     void harm_backend();
+    void end_backend(std::size_t index, milliseconds length);
     void harm_many();
+    void disturb_registration();
+    void repeat_report(order_server& server, backend_announcement report, milliseconds gap, time_point until);
+    void send_stray_reports(order_server& server, const backend_profile& sender);
+    std::string next_id(std::size_t index);
+    std::uint64_t next_life(std::uint64_t former);
     void planned_stop(std::vector<daemon_node>& nodes);
 
     daemon_node& any_node();
@@ -62,6 +68,9 @@
     int open_faults_ = 0;
     // Faults of the store that are open; the last one to end restores it.
     int store_faults_ = 0;
+    // By position, the backend server before the present one.
+    std::map<std::size_t, backend_profile> former_;
+    int last_id_ = 0;
     std::map<std::string, int> counts_;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -84,7 +84,11 @@
         , clock_{clock}
         , world_{context, options, clock, &callers::work_in,
                  [this](const backend_profile& backend, const order_backend::event& event, bool is_late) {
+                     const std::size_t before = check_.violations().size();
                      check_.run_event(backend, event, is_late);
+                     for (std::size_t i = before; i < check_.violations().size(); ++i)
+                         log_event(log_level::error, "check", "broken promise",
+                                   {{"promise", check_.violations()[i]}});
                  }}
         , callers_{context, options, clock, world_.config(), targets(), check_}
         , faults_{context, options, clock, world_, check_}
--- a/soak/promise_check.cpp
+++ b/soak/promise_check.cpp
@@ -119,14 +119,17 @@
     job_record& job = found->second;
     job.has_started = true;
     task_record& task = job.tasks[{run.task.step, run.task.index}];
-    if (!task.active.empty())
-        report("one run", name + " begins while run " + std::to_string(task.active.begin()->second) + " at " +
-                              task.active.begin()->first + " goes on");
+    if (!task.active.empty()) {
+        const auto& [other, since] = *task.active.begin();
+        const auto age = std::chrono::duration_cast<milliseconds>(now - since);
+        report("one run", name + " begins while run " + std::to_string(other.second) + " at " + other.first +
+                              " goes on, which began " + std::to_string(age.count()) + " ms before");
+    }
     if (job.plan.is_durable && task.is_done_acknowledged)
         report("one run", name + " begins after an end with success was acknowledged");
     if (job.plan.is_durable && task.acknowledged_failures >= job.max_attempts)
         report("attempts", name + " begins after all attempts have failed");
-    task.active.emplace(backend.id, run.run);
+    task.active.emplace(std::pair{backend.id, run.run}, now);
     backend_record& room = backends_[backend.id];
     const std::int64_t needs = job.plan.steps[run.task.step].task_needs.cpu_millicores;
     room.millicores[run] = needs;
--- a/soak/promise_check.h
+++ b/soak/promise_check.h
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -73,8 +72,8 @@
 
 private:
     struct task_record {
-        // Where runs of the task are active, with their numbers.
-        std::set<std::pair<std::string, run_number>> active;
+        // Where runs of the task are active, with their numbers, and since when.
+        std::map<std::pair<std::string, run_number>, time_point> active;
         std::uint32_t done = 0;
         std::uint32_t failed = 0;
         std::uint32_t acknowledged_failures = 0;
--- a/standins/order_backend.cpp
+++ b/standins/order_backend.cpp
@@ -75,6 +75,12 @@
     sequence_ = 0;
 }
 
+void order_backend::set_identity(const std::string& id, std::uint64_t life) {
+    profile_.id = id;
+    profile_.life = life;
+    profile_.draining = false;
+}
+
 backend_reply order_backend::carry_out(const backend_order& order, time_point now) {
     advance(now);
     backend_reply reply;
--- a/standins/order_backend.h
+++ b/standins/order_backend.h
@@ -44,6 +44,8 @@
     void advance(time_point now);
     // Everything that runs is gone, and a new life begins.
     void crash(time_point now);
+    // The life that has just begun is another backend server, which is not draining.
+    void set_identity(const std::string& id, std::uint64_t life);
 
     // Work of a task whose name this is; the default is 100 ms.
     void set_work(const task_ref& task, milliseconds work) { work_[task] = work; }
--- a/standins/order_server.cpp
+++ b/standins/order_server.cpp
@@ -84,9 +84,9 @@
     } else if (is_chance(faults_.late_orders)) {
         const milliseconds lateness{
             std::uniform_int_distribution<std::int64_t>{shortest_lateness_ms, longest_lateness_ms}(random_)};
-        after(lateness, [this, order = *order, life = backend_.profile().life] {
+        after(lateness, [this, order = *order, id = backend_.profile().id, life = backend_.profile().life] {
             // An order that waits in a process ends with it.
-            if (life != backend_.profile().life)
+            if (id != backend_.profile().id || life != backend_.profile().life)
                 return;
             if (const auto* start = std::get_if<start_order>(&order.action))
                 backend_.set_work(start->run.task, work_(start->payload, start->run.task.index));
@@ -134,9 +134,9 @@
     }
 }
 
-void order_server::note_events(bool is_late) {
-    for (const order_backend::event& event : backend_.take_events())
-        on_event_(backend_.profile(), event, is_late);
+void order_server::note_events(order_backend& backend, bool is_late) {
+    for (const order_backend::event& event : backend.take_events())
+        on_event_(backend.profile(), event, is_late);
 }
 
 void order_server::step() {
@@ -146,6 +146,11 @@
             return;
         backend_.advance(clock_.now());
         note_events(false);
+        for (order_backend& former : former_) {
+            former.advance(clock_.now());
+            note_events(former, false);
+        }
+        former_.remove_if([](const order_backend& former) { return former.running().empty(); });
         if (!is_dark_)
             answer_holds();
         step();
@@ -164,6 +169,22 @@
     });
 }
 
+void order_server::crash(milliseconds away, const std::string& next_id, std::uint64_t next_life) {
+    crash(away);
+    backend_.set_identity(next_id, next_life);
+}
+
+void order_server::replace(const std::string& next_id, std::uint64_t next_life) {
+    holds_.clear();
+    note_events(false);
+    former_.push_back(backend_);
+    backend_.crash(clock_.now());
+    backend_.take_events();
+    backend_.set_identity(next_id, next_life);
+    is_drain_known_ = false;
+    send_announcement();
+}
+
 void order_server::set_draining(bool is_draining) {
     backend_.set_draining(is_draining);
     is_drain_known_ = false;
@@ -182,16 +203,33 @@
 void order_server::send_announcement() {
     if (is_dark_)
         return;
+    const backend_announcement announcement = backend_.announce(clock_.now());
+    http_client_request request = registration("PUT", announcement.profile.id);
+    request.body = encode_announcement(announcement, options_.address);
+    client_.send(request, [this, profile = announcement.profile](const http_answer& answer) {
+        const backend_profile& present = backend_.profile();
+        if (answer.status == 200 && profile.draining && present.draining && profile.id == present.id)
+            is_drain_known_ = true;
+    });
+}
+
+http_client_request order_server::registration(const std::string& method, const std::string& id) const {
     http_client_request request;
-    request.method = "PUT";
-    request.url = "http://" + options_.agent_address + "/executors/" + backend_.profile().id;
+    request.method = method;
+    request.url = "http://" + options_.agent_address + "/executors/" + id;
     request.headers = {"Content-Type: application/json"};
-    request.body = encode_announcement(backend_.announce(clock_.now()), options_.address);
     request.timeout = announcement_timeout;
-    client_.send(request, [this, is_draining = backend_.profile().draining](const http_answer& answer) {
-        if (answer.status == 200 && is_draining)
-            is_drain_known_ = true;
-    });
+    return request;
+}
+
+void order_server::send_report(const backend_announcement& report) {
+    http_client_request request = registration("PUT", report.profile.id);
+    request.body = encode_announcement(report, options_.address);
+    client_.send(request, [](const http_answer&) {});
+}
+
+void order_server::send_leave(const std::string& id) {
+    client_.send(registration("DELETE", id), [](const http_answer&) {});
 }
 
 } // namespace persimmonstile
--- a/standins/order_server.h
+++ b/standins/order_server.h
@@ -43,6 +43,14 @@
     // Everything that runs is gone. The next life answers and announces itself after this time, or after that
     // of a start if it is longer.
     void crash(milliseconds away);
+    // The same, but the next life is a backend server with another id.
+    void crash(milliseconds away, const std::string& next_id, std::uint64_t next_life);
+    // Another backend server answers at this address from now on. Runs of the present one go on until their
+    // lease ends.
+    void replace(const std::string& next_id, std::uint64_t next_life);
+    // Sends the agent a report, or a message of leaving, that may be of somebody else.
+    void send_report(const backend_announcement& report);
+    void send_leave(const std::string& id);
     void set_draining(bool is_draining);
     const order_backend& backend() const { return backend_; }
     // The agent has acknowledged that the backend server is draining.
@@ -57,11 +65,13 @@
 
     void handle(const http_request& request, const http_responder& respond);
     void carry_out(const backend_order& order, const http_responder& respond);
-    void note_events(bool is_late);
+    void note_events(order_backend& backend, bool is_late);
+    void note_events(bool is_late) { note_events(backend_, is_late); }
     void step();
     void answer_holds();
     void announce();
     void send_announcement();
+    http_client_request registration(const std::string& method, const std::string& id) const;
     void after(milliseconds delay, std::function<void()> action);
     bool is_chance(double part) { return std::uniform_real_distribution<double>{0, 1}(random_) < part; }
 
@@ -72,6 +82,8 @@
     work_reader work_;
     event_handler on_event_;
     order_backend backend_;
+    // Replaced ones that still have runs.
+    std::list<order_backend> former_;
     order_faults faults_;
     bool is_dark_ = false;
     bool is_drain_known_ = false;
--- a/tests/order_backend_test.cpp
+++ b/tests/order_backend_test.cpp
@@ -56,5 +56,18 @@
     EXPECT_TRUE(acknowledge(600ms).empty());
 }
 
+TEST_F(order_backend_test, a_life_with_another_id_knows_nothing_and_does_not_drain) {
+    run_to_end();
+    backend_.set_draining(true);
+    backend_.crash(time_point{300ms});
+    backend_.set_identity("other", 7);
+    const backend_announcement announcement = backend_.announce(time_point{300ms});
+    EXPECT_EQ(announcement.profile.id, "other");
+    EXPECT_EQ(announcement.profile.life, 7U);
+    EXPECT_EQ(announcement.sequence, 1U);
+    EXPECT_FALSE(announcement.profile.draining);
+    EXPECT_FALSE(backend_.has_news(0));
+}
+
 } // namespace
 } // namespace persimmonstile
--- a/tests/promise_check_test.cpp
+++ b/tests/promise_check_test.cpp
@@ -87,6 +87,19 @@
     expect_broken("one run");
 }
 
+TEST_F(promises, a_run_beside_one_of_a_replaced_backend_server_is_seen) {
+    backend_profile replacement = backend_;
+    replacement.id = "b-2";
+    start(0, 1, backend_);
+    start(0, 2, replacement, start_time + 300ms);
+    expect_broken("one run");
+    EXPECT_TRUE(check_.violations()[0].ends_with("at b goes on, which began 300 ms before"));
+    end(0, 1, backend_, run_state::lapsed);
+    end(0, 2, replacement, run_state::done);
+    start(0, 3, backend_);
+    EXPECT_EQ(check_.violations().size(), 1U);
+}
+
 TEST_F(promises, a_run_after_an_acknowledged_success_is_seen) {
     start(0, 1, backend_);
     end(0, 1, backend_, run_state::done);
--- a/tests/soak_test.sh
+++ b/tests/soak_test.sh
@@ -18,8 +18,8 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-"$build/bin/persimmonstile-soak" --programs "$build/bin" --work "$work/nodes" --seed 20261204 --rounds 1 \
-    --storm-ms 6000 --calm-ms 4000 --rate 40 >"$work/report" 2>&1 || {
+"$build/bin/persimmonstile-soak" --programs "$build/bin" --work "$work/nodes" --seed 20261212 --rounds 1 \
+    --storm-ms 8000 --calm-ms 4000 --rate 40 --fault-rate 2.5 >"$work/report" 2>&1 || {
     cat "$work/report"
     exit 1
 }
