--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -32,9 +32,11 @@
 public:
     agent_core(incarnation self, std::string zone, const agent_limits& limits, time_point now);
 
-    // The backend server announced its profile. Ignores announcements that are delayed or repeated. A new
-    // lifetime of the backend server resets the state that belongs to the previous one.
-    void announced(const backend_announcement& announcement, time_point now);
+    // A backend server announced its profile. Ignores announcements that are delayed or repeated. Another
+    // backend server or lifetime than the present one is taken up when it has answered an order.
+    // Returns false if the announcement must not be acknowledged: the agent cannot promise that a backend
+    // server that shuts down gets no new work before it has taken it up.
+    bool announced(const backend_announcement& announcement, time_point now);
     // The backend server announced that it shuts down.
     void left(const std::string& backend_id, time_point now);
     void replied(const backend_reply& reply, time_point now);
@@ -116,7 +118,9 @@
     template <typename Other> void receive(link_number, const Other&, time_point) {}
 
     // Answers of the backend server.
+    void observe_clock(const backend_reply& reply, time_point now);
     void process_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
+    void process_former_start_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_stop_reply(const sent_order& sent, const backend_reply& reply, time_point now);
     void process_hold_reply(const sent_order& sent, const backend_reply& reply, bool is_raise,
                             time_point now);
@@ -131,6 +135,8 @@
     // Orders to the backend server.
     std::uint64_t send_order(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
                              time_point now);
+    std::uint64_t send_order(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
+                             time_point now, const std::string& backend_id);
     bool has_unclaimed_runs();
     void start_queued(time_point now);
     void send_start_order(run_record& record, time_point now);
@@ -142,8 +148,16 @@
     std::uint64_t end_to_acknowledge(time_point now) const;
     bool is_hold_due(time_point now) const;
 
+    // Which backend server is at the agent's address.
+    void apply_announcement(const backend_announcement& announcement, time_point now);
+    void consider_candidate(const backend_announcement& announcement, time_point now);
+    void check_candidate(time_point now);
+    void process_candidate_reply(const backend_reply& reply, time_point now);
+    void reject_candidate();
     void begin_backend_life(const std::string& id, std::uint64_t life, time_point now);
-    void process_backend_loss(run_refusal reason, bool keeps_unanswered_starts, time_point now);
+    void forget_ended_backend(time_point now);
+    void detach_backend(time_point now);
+    void end_expired_detached_runs(time_point now);
     void complete_synchronization(time_point now);
     void publish_inventories(time_point now);
     void offer_orphans(time_point now);
@@ -192,7 +206,6 @@
     incarnation self_;
     std::string zone_;
     agent_limits limits_;
-    time_point started_;
     agent_output output_;
 
     // The backend server. The id is empty while none is known.
@@ -200,6 +213,14 @@
     // The backend server has announced its capacity in this lifetime.
     bool has_profile_ = false;
     std::uint64_t last_sequence_ = 0;
+    // It has announced its end, and no announcement has come after that.
+    bool has_signed_off_ = false;
+    // The latest announcement by another backend server or life, until it has answered an order.
+    std::optional<backend_announcement> candidate_;
+    time_point candidate_expires_at_{};
+    time_point next_candidate_check_{};
+    // Id of the order to the candidate; 0 if none is in flight.
+    std::uint64_t candidate_order_id_ = 0;
     backend_clock backend_clock_;
     backend_health backend_health_;
     std::uint64_t fencing_token_ = 0;
@@ -221,10 +242,14 @@
     time_point all_leases_expired_at_{};
 
     run_table runs_;
+    // When the first lease of a run at a former backend server expires.
+    time_point next_detached_expiry_ = time_point::max();
     std::deque<run_ref> queue_;
     std::size_t starts_in_flight_ = 0;
 
     std::uint64_t last_order_id_ = 0;
+    // Orders up to this id were sent before the present backend server was taken up.
+    std::uint64_t last_former_order_id_ = 0;
     std::map<std::uint64_t, sent_order> orders_in_flight_;
     // Ids of the regular hold order and of the one that raises the token; 0 if none is in flight.
     std::uint64_t hold_order_id_ = 0;
@@ -232,6 +257,8 @@
     time_point next_hold_{};
     time_point next_raise_{};
     bool is_raise_needed_ = false;
+    // Id of the last order that was sent before the newest list was read.
+    std::uint64_t last_order_before_list_ = 0;
     // Highest end number that was listed.
     std::uint64_t last_listed_end_ = 0;
     // Number of consecutive hold orders whose verdict was neither accepted nor fenced.
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -18,8 +18,14 @@
 
 std::uint64_t agent_core::send_order(std::variant<start_order, stop_order, hold_order> action,
                                      milliseconds timeout, time_point now) {
+    return send_order(std::move(action), timeout, now, backend_.id);
+}
+
+std::uint64_t agent_core::send_order(std::variant<start_order, stop_order, hold_order> action,
+                                     milliseconds timeout, time_point now, const std::string& backend_id) {
     backend_order order;
     order.id = ++last_order_id_;
+    order.backend_id = backend_id;
     order.fencing_token = fencing_token_;
     order.timeout = timeout;
     const auto* hold = std::get_if<hold_order>(&action);
@@ -54,7 +60,7 @@
 bool agent_core::has_unclaimed_runs() {
     bool found = false;
     runs_.for_each([&](run_record& record) {
-        found = found || (record.owner.name.empty() && uses_capacity(record.state));
+        found = found || (record.owner.name.empty() && uses_present_capacity(record));
     });
     return found;
 }
@@ -142,26 +148,38 @@
         return;
     const sent_order sent = std::move(found->second);
     orders_in_flight_.erase(found);
-    if (reply.clock_ms > 0)
-        backend_clock_.observe(reply.clock_ms, now);
+    if (reply.id == candidate_order_id_) {
+        process_candidate_reply(reply, now);
+        return;
+    }
+    if (reply.id <= last_former_order_id_) {
+        process_former_start_reply(sent, reply, now);
+        return;
+    }
     const bool is_raise = reply.id == raise_order_id_;
     if (reply.id == hold_order_id_)
         hold_order_id_ = 0;
     if (is_raise)
         raise_order_id_ = 0;
     if (reply.verdict == backend_verdict::other_instance) {
-        record_decision("another backend server answered", {}, {{"backend", backend_.id}}, true);
-        process_backend_loss(run_refusal::no_backend, false, now);
-        backend_ = {};
-        has_profile_ = false;
+        record_decision("another backend server answered", {},
+                        {{"backend", backend_.id},
+                         {"life", static_cast<std::int64_t>(backend_.life)},
+                         {"answered_life", static_cast<std::int64_t>(reply.life)},
+                         {"runs", static_cast<std::int64_t>(runs_.active_count())}},
+                        true);
+        detach_backend(now);
+        process_former_start_reply(sent, reply, now);
         return;
     }
     if (reply.life != 0 && reply.life != backend_.life) {
         record_decision("another life of the backend server answered", {},
                         {{"backend", backend_.id}, {"life", static_cast<std::int64_t>(reply.life)}}, true);
         begin_backend_life(std::string{backend_.id}, reply.life, now);
+        observe_clock(reply, now);
         return;
     }
+    observe_clock(reply, now);
     // An agent that was suspended reads answers late, so the send time of the order counts.
     if (reply.life != 0)
         last_reply_ = std::max(last_reply_, sent.sent);
@@ -180,6 +198,11 @@
         process_hold_reply(sent, reply, is_raise, now);
 }
 
+void agent_core::observe_clock(const backend_reply& reply, time_point now) {
+    if (reply.clock_ms > 0)
+        backend_clock_.observe(reply.clock_ms, now);
+}
+
 void agent_core::process_start_reply(const sent_order& sent, const backend_reply& reply, time_point now) {
     if (starts_in_flight_ > 0)
         --starts_in_flight_;
@@ -220,9 +243,9 @@
         end_run(*record, run_state::refused, run_refusal::invalid_order, now);
         return;
     case backend_verdict::not_sent:
-    case backend_verdict::other_instance:
         end_run(*record, run_state::refused, run_refusal::no_backend, now);
         return;
+    case backend_verdict::other_instance:
     case backend_verdict::no_answer:
         record->is_start_unanswered = true;
         is_raise_needed_ = true;
@@ -234,6 +257,19 @@
     }
 }
 
+// Returns a run at once whose start order to a former backend server was certainly not executed. Any other
+// answer leaves it to the lease, since the present lists do not show the run.
+void agent_core::process_former_start_reply(const sent_order& sent, const backend_reply& reply,
+                                            time_point now) {
+    const auto* start = std::get_if<start_order>(&sent.order.action);
+    run_record* record = start != nullptr ? runs_.find(start->run) : nullptr;
+    const bool is_refused =
+        reply.verdict == backend_verdict::other_instance || reply.verdict == backend_verdict::not_sent;
+    if (record != nullptr && is_refused && record->state == run_state::starting && record->lease_expires_at &&
+        record->start_token == sent.order.fencing_token)
+        end_run(*record, run_state::refused, run_refusal::no_backend, now);
+}
+
 void agent_core::process_stop_reply(const sent_order& sent, const backend_reply& reply, time_point now) {
     run_record* record = runs_.find(std::get<stop_order>(sent.order.action).run);
     if (record == nullptr || is_final(record->state) || reply.verdict == backend_verdict::accepted)
@@ -298,9 +334,14 @@
         listed.insert(end.run);
         process_listed_end(end, now);
     }
+    // Answers may overtake each other. A list that was requested before the newest one was read may show a
+    // run whose end that one showed, so it adds no runs. The next list shows those that are there.
+    const bool may_be_older = hold.order.id <= last_order_before_list_;
+    last_order_before_list_ = last_order_id_;
     for (const listed_run& run : reply.running) {
         listed.insert(run.run);
-        process_listed_run(run, reply.clock_ms, now);
+        if (!may_be_older || runs_.find(run.run) != nullptr)
+            process_listed_run(run, reply.clock_ms, now);
     }
     if (!is_synchronized_ && hold.order.fencing_token == fencing_token_)
         complete_synchronization(now);
@@ -341,7 +382,10 @@
     run_record* record = runs_.find(listed.run);
     if (record == nullptr) {
         record_decision("found a run at the backend server", listed.run.task.job,
-                        {{"run", static_cast<std::int64_t>(listed.run.run)}});
+                        {{"step", listed.run.task.step},
+                         {"task", listed.run.task.index},
+                         {"run", static_cast<std::int64_t>(listed.run.run)},
+                         {"backend", backend_.id}});
         run_record found;
         found.run = listed.run;
         found.state = run_state::running;
@@ -356,6 +400,8 @@
     }
     if (is_final(record->state))
         return;
+    if (record->lease_expires_at)
+        runs_.attach(*record);
     if (record->state == run_state::starting) {
         runs_.set_state(*record, run_state::running);
         record->started = now;
@@ -392,7 +438,7 @@
                                            time_point now) {
     std::vector<run_ref> resolved;
     runs_.for_each([&](run_record& record) {
-        if (record.state == run_state::starting && record.is_start_unanswered &&
+        if (record.state == run_state::starting && !record.lease_expires_at && record.is_start_unanswered &&
             record.start_token < hold.order.fencing_token && !listed.contains(record.run))
             resolved.push_back(record.run);
     });
@@ -417,12 +463,20 @@
 void agent_core::end_missing_runs(const sent_order& hold, const std::set<run_ref>& listed, time_point now) {
     std::vector<run_ref> missing_runs;
     runs_.for_each([&](run_record& record) {
-        if (record.state == run_state::running && record.started < hold.sent && !listed.contains(record.run))
+        if (record.state == run_state::running && !record.lease_expires_at && record.started < hold.sent &&
+            !listed.contains(record.run))
             missing_runs.push_back(record.run);
     });
     for (const run_ref& run : missing_runs) {
+        const run_record& record = *runs_.find(run);
         record_decision("run is in no list of the backend server", run.task.job,
-                        {{"run", static_cast<std::int64_t>(run.run)}}, true);
+                        {{"step", run.task.step},
+                         {"task", run.task.index},
+                         {"run", static_cast<std::int64_t>(run.run)},
+                         {"backend", backend_.id},
+                         {"found", record.payload == nullptr ? 1 : 0},
+                         {"list_age_us", std::chrono::duration_cast<microseconds>(now - hold.sent).count()}},
+                        true);
         end_run(*runs_.find(run), run_state::lapsed, run_refusal::no_backend, now);
     }
 }
@@ -430,6 +484,8 @@
 // From now on the agent knows every started run, so the owners may rely on its inventories.
 void agent_core::complete_synchronization(time_point now) {
     is_synchronized_ = true;
+    if (next_detached_expiry_ != time_point::max())
+        next_detached_expiry_ = now;
     next_hold_ = now;
     record_decision("backend server is settled", {},
                     {{"backend", backend_.id},
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -32,7 +32,7 @@
         send_welcome(agent);
 }
 
-void entry_core::receive(link_number link, const agent_profile& profile, time_point) {
+void entry_core::receive(link_number link, const agent_profile& profile, time_point now) {
     agent_view& agent = agents_.find_or_add(profile.agent.name);
     const bool is_new_link = agent.link != link;
     const bool is_new_backend =
@@ -40,6 +40,12 @@
     if (profile.is_suspect != agent.profile.is_suspect)
         record_decision(profile.is_suspect ? "backend server is suspect" : "backend server is tried again",
                         {}, {{"agent", agent.name}}, profile.is_suspect);
+    const bool is_new_process =
+        agent.profile.agent.number != 0 && profile.agent.number != agent.profile.agent.number;
+    if (is_new_process && !agent.profile.backend.id.empty()) {
+        agent.former_backend = agent.profile.backend;
+        agent.former_leases_expire_at = now + limits_.run_lease_bound();
+    }
     agent.profile = profile;
     if (is_new_backend) {
         agent.slowness = robust_average{16};
@@ -106,10 +112,17 @@
         return;
     }
     std::set<run_ref> listed;
+    run_stop_request obsolete{process_, {}};
     for (const run_report& report : message.reports) {
         listed.insert(report.run);
         apply_report(*agent, report, now);
+        // No other entry owns a run of this process. Its job was dropped while no stop could be sent.
+        if (message.owner == process_ && !is_final(report.state) &&
+            ledger_.find(report.run.task.job) == nullptr)
+            obsolete.runs.push_back(report.run);
     }
+    if (!obsolete.runs.empty())
+        output_.messages.emplace_back(link, std::move(obsolete));
     if (message.owner != session() && message.owner != process_) {
         record_succession_answer(agent->name, message.owner);
         is_session_update_needed_ = true;
@@ -121,8 +134,11 @@
     const std::map<run_ref, std::uint64_t> known_runs = agent->runs;
     for (const auto& [run, start] : known_runs) {
         const ledger_job* job = ledger_.find(run.task.job);
-        if (start <= message.received_starts && !listed.contains(run) &&
-            (job == nullptr || job->is_durable() == is_durable))
+        if (listed.contains(run))
+            agent->runs_at_former_backend.erase(run);
+        else if (start == 0 && agent->may_have_former_runs(now))
+            agent->runs_at_former_backend.insert(run);
+        else if (start <= message.received_starts && (job == nullptr || job->is_durable() == is_durable))
             mark_run_lost(*agent, run, now);
     }
     (is_durable ? agent->is_session_introduced : agent->is_introduced) = true;
@@ -130,10 +146,12 @@
 }
 
 // A restarted agent has found these runs on its backend server. Claims those that belong to jobs of this
-// entry.
+// entry, and stops those that work on although their task is done or has a newer run.
 void entry_core::claim_orphans(agent_view& agent, const run_inventory& orphans, time_point now) {
     run_claim durable_claim{session(), true, {}};
     run_claim non_durable_claim{process_, false, {}};
+    run_stop_request durable_stop{session(), {}};
+    run_stop_request non_durable_stop{process_, {}};
     for (const run_report& report : orphans.reports) {
         ledger_job* job = ledger_.find(report.run.task.job);
         if (job == nullptr) {
@@ -144,6 +162,18 @@
                 orphans_.add(agent.number, report, now);
             continue;
         }
+        const ledger_task* task = job_ledger::find_task(*job, report.run.task);
+        if (task != nullptr && !is_final(report.state) &&
+            (task->phase == task_phase::done || report.run.run < task->run)) {
+            (job->is_durable() ? durable_stop : non_durable_stop).runs.push_back(report.run);
+            record_decision("agent found a run that a newer run has replaced", report.run.task.job,
+                            {{"step", report.run.task.step},
+                             {"task", report.run.task.index},
+                             {"run", static_cast<std::int64_t>(report.run.run)},
+                             {"newest_run", static_cast<std::int64_t>(task->run)},
+                             {"agent", agent.name}},
+                            true);
+        }
         if (report.run.task.step < job->record->plan.steps.size())
             (job->is_durable() ? durable_claim : non_durable_claim)
                 .runs.push_back({report.run, job->step(report.run.task.step).task_needs});
@@ -158,6 +188,10 @@
         if (!message->runs.empty())
             output_.messages.emplace_back(agent.link, std::move(*message));
     }
+    for (run_stop_request* message : {&durable_stop, &non_durable_stop}) {
+        if (!message->runs.empty())
+            output_.messages.emplace_back(agent.link, std::move(*message));
+    }
 }
 
 void entry_core::process_orphan_check(std::uint64_t question, const store_reply& answer, time_point now) {
@@ -287,10 +321,23 @@
     job.unacknowledged_ends.clear();
 }
 
+// Treats runs at the former backend server of a restarted agent as lost once their leases have certainly
+// expired.
+void entry_core::end_former_runs(agent_view& agent, time_point now) {
+    if (agent.runs_at_former_backend.empty() || now < agent.former_leases_expire_at)
+        return;
+    for (const run_ref& run : std::exchange(agent.runs_at_former_backend, {})) {
+        const auto found = agent.runs.find(run);
+        if (found != agent.runs.end() && found->second == 0)
+            mark_run_lost(agent, run, now);
+    }
+}
+
 // Treats the runs of a disconnected agent as lost once their leases have certainly expired.
 void entry_core::expire_unreachable_runs(time_point now) {
     const milliseconds lease = limits_.run_lease_bound();
     for (auto& [number, agent] : agents_.all()) {
+        end_former_runs(agent, now);
         if (agent.link != 0 || agent.runs.empty())
             continue;
         const std::map<run_ref, std::uint64_t> runs = agent.runs;
--- a/daemon/durable_agent.cpp
+++ b/daemon/durable_agent.cpp
@@ -67,8 +67,7 @@
         links_.send(link, message);
     for (const backend_order& order : output.orders) {
         interfaces_.orders(
-            order, core_.backend_id(),
-            [this, action = order.action.index(), sent = clock_.now()](const backend_reply& reply) {
+            order, [this, action = order.action.index(), sent = clock_.now()](const backend_reply& reply) {
                 metrics_.record_order(action, reply.verdict, clock_.now() - sent);
                 handle_event([&] { core_.replied(reply, clock_.now()); });
             });
@@ -131,8 +130,10 @@
     }
 }
 
-void durable_agent::announced(const backend_announcement& announcement) {
-    handle_event([&] { core_.announced(announcement, clock_.now()); });
+bool durable_agent::announced(const backend_announcement& announcement) {
+    bool is_acknowledged = false;
+    handle_event([&] { is_acknowledged = core_.announced(announcement, clock_.now()); });
+    return is_acknowledged;
 }
 
 void durable_agent::left(const std::string& backend_id) {
--- a/daemon/durable_agent.h
+++ b/daemon/durable_agent.h
@@ -16,8 +16,8 @@
 namespace persimmonstile {
 
 // Sends an order to the backend server. The handler is called exactly once, after the call has returned.
-using order_caller = std::function<void(const backend_order& order, const std::string& backend_id,
-                                        std::function<void(const backend_reply&)>)>;
+using order_caller =
+    std::function<void(const backend_order& order, std::function<void(const backend_reply&)>)>;
 
 // An agent in a deployment with durable jobs. It connects agent_core with the backend server, the entries,
 // the store and the clock. All calls are made on the thread that runs the context.
@@ -32,8 +32,9 @@
     durable_agent(asio::io_context& context, const daemon_settings& settings, const agent_limits& limits,
                   const clock_source& clock, external_interfaces interfaces);
 
-    // The backend server has announced itself, or has deregistered.
-    void announced(const backend_announcement& announcement);
+    // A backend server has announced itself, or has deregistered. An announcement is to be acknowledged only
+    // if announced() returns true.
+    bool announced(const backend_announcement& announcement);
     void left(const std::string& backend_id);
 
     void begin_shutdown();
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -1,3 +1,5 @@
+#include "coordination/member_directory.h"
+#include "coordination/store_keys.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/order_codec.h"
@@ -7,6 +9,7 @@
 #include "protocol/record_codec.h"
 
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -106,6 +109,51 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(std::get<item_found>(reply).item.value));
 }
 
+// A listing of the members with one odd value between two entries.
+std::string listing_with(const std::string& odd_value) {
+    const auto item = [](const std::string& name, const std::string& value) {
+        return json{
+            {"Key", entry_key(name)}, {"Value", value}, {"Revision", 4}, {"Created", 4}, {"Lease", 0}};
+    };
+    const auto entry = [&](const std::string& name, const std::string& address) {
+        return item(name, encode_base64(encode_record(stored_record{entry_record{{name, 1}, address, "z"}})));
+    };
+    return json{{"items", {entry("a", "10.0.0.1:7720"), item("b", odd_value), entry("c", "10.0.0.3:7720")}},
+                {"HasMore", false},
+                {"StoreRevision", 9}}
+        .dump();
+}
+
+// Announces a quarter of a million elements on each of many levels.
+std::string nested_arrays(std::size_t depth) {
+    std::string bytes;
+    for (std::size_t i = 0; i < depth; ++i)
+        bytes += std::string("\xdd\x00\x03\xff\xff", 5);
+    return bytes;
+}
+
+// Guards against the end of every process that lists the members when another writer has left an odd value.
+TEST(store_codec, one_odd_value_among_the_members_hides_no_other) {
+    const std::vector<std::string> odd_values{
+        "", "not base64", encode_base64("text"),
+        // Arrays, a map and a text that announce more elements than there are.
+        encode_base64(std::string("\xdd\xff\xff\xff\xff", 5)),
+        encode_base64(std::string("\xdf\xff\xff\xff\xff", 5)),
+        encode_base64(std::string("\xdb\xff\xff\xff\xff", 5)), encode_base64(nested_arrays(50000)),
+        encode_base64(std::string(500000, '\x91'))};
+    for (const std::string& value : odd_values) {
+        const store_reply reply =
+            decode_store_answer(store_list{member_prefix, {}}, make_answer(200, listing_with(value)));
+        const auto* listing = std::get_if<item_listing>(&reply);
+        ASSERT_NE(listing, nullptr) << value.substr(0, 40);
+        member_directory members;
+        members.reset(listing->items, time_point{});
+        EXPECT_NE(members.find_entry("a"), nullptr) << value.substr(0, 40);
+        EXPECT_EQ(members.find_entry("b"), nullptr) << value.substr(0, 40);
+        EXPECT_NE(members.find_entry("c"), nullptr) << value.substr(0, 40);
+    }
+}
+
 // ---- Orders ----
 
 TEST(order_codec, formats_and_parses_task_names) {
@@ -176,6 +224,22 @@
     EXPECT_EQ(decode_order_answer(order, http_answer{}).verdict, backend_verdict::not_sent);
 }
 
+// A value that nests as deeply as a body of 1 MiB can.
+std::string deep_value() {
+    constexpr std::size_t depth = 500'000;
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Guards against the end of the agent when the answer to an order exhausts the stack.
+TEST(order_codec, a_deeply_nested_answer_is_no_list) {
+    backend_order order;
+    order.action = hold_order{};
+    const backend_reply reply = decode_order_answer(
+        order, make_answer(200, R"({"ClockMs":1,"Running":[],"Ended":[],"x":)" + deep_value() + "}"));
+    EXPECT_EQ(reply.clock_ms, 0);
+    EXPECT_EQ(reply.life, 0U);
+}
+
 // Guards against decisions that are based on partly decoded lists.
 TEST(order_codec, treats_malformed_lists_as_no_answer) {
     backend_order order;
@@ -186,6 +250,54 @@
     EXPECT_TRUE(reply.running.empty());
 }
 
+// Guards against runs that are reported as ended, and started again, because an answer cannot be read.
+TEST(order_codec, an_answer_without_both_lists_does_not_show_that_runs_have_ended) {
+    backend_order order;
+    order.action = hold_order{};
+    const auto verdict = [&](const std::string& body) {
+        return decode_order_answer(order, make_answer(200, body)).verdict;
+    };
+    for (const std::string body :
+         {"", "[]", "{", "\xff", "{}", R"({"ClockMs":1})", R"({"ClockMs":1,"Running":[]})",
+          R"({"ClockMs":1,"Ended":[]})", R"({"ClockMs":1,"Running":7,"Ended":[]})",
+          R"({"ClockMs":1,"Running":{},"Ended":[]})", R"({"ClockMs":1,"Running":[],"Ended":[],"x":)"}) {
+        EXPECT_EQ(verdict(body), backend_verdict::no_answer) << body;
+    }
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":[],"Ended":[],"x":)" + deep_value() + "}"),
+              backend_verdict::no_answer);
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":[],"Ended":[]})"), backend_verdict::accepted);
+    EXPECT_EQ(verdict(R"({"ClockMs":1,"Running":null,"Ended":null})"), backend_verdict::accepted);
+}
+
+// Guards against runs and ends that an impossible number is mistaken for.
+TEST(order_codec, treats_impossible_numbers_as_no_answer) {
+    backend_order order;
+    order.action = hold_order{};
+    const auto decode = [&](const std::string& clock, const std::string& life, const std::string& run,
+                            const std::string& percent, const std::string& end) {
+        return decode_order_answer(
+            order, make_answer(200, R"({"ClockMs":)" + clock + R"(,"born":)" + life +
+                                        R"(,"Running":[["5c0e7a21d94b36f8.0.1.17",)" + run + R"(,"",)" +
+                                        percent + R"(,0]],"Ended":[[)" + end +
+                                        R"(,"5c0e7a21d94b36f8.0.1.9",)" + run + R"(,"done",""]]})"));
+    };
+    ASSERT_EQ(decode("1", "2", "3", "4", "5").verdict, backend_verdict::accepted);
+    EXPECT_EQ(decode("1", "2", "3", "99.5", "5").running.at(0).percent, 99U);
+    for (const std::string odd : {"-1", "1e300", "-1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+        const backend_reply replies[] = {decode(odd, "2", "3", "4", "5"), decode("1", odd, "3", "4", "5"),
+                                         decode("1", "2", odd, "4", "5"), decode("1", "2", "3", odd, "5"),
+                                         decode("1", "2", "3", "4", odd)};
+        for (const backend_reply& reply : replies) {
+            EXPECT_EQ(reply.verdict, backend_verdict::no_answer) << odd;
+            EXPECT_EQ(reply.clock_ms, 0) << odd;
+            EXPECT_TRUE(reply.running.empty() && reply.ended.empty()) << odd;
+        }
+    }
+    EXPECT_EQ(decode("1", "2", "3", "4", "0").verdict, backend_verdict::no_answer);
+    EXPECT_EQ(decode("1", "2", "3.5", "4", "5").verdict, backend_verdict::no_answer);
+    EXPECT_FALSE(parse_task_name("5c0e7a21d94b36f8.0.1.4294967313"));
+}
+
 // ---- Jobs ----
 
 TEST(job_codec, reads_steps) {
@@ -220,6 +332,14 @@
     }
 }
 
+// Guards against a caller that gets no answer because the error text cannot be written as JSON.
+TEST(job_codec, error_text_has_no_bytes_of_the_body) {
+    const auto decoded = decode_job("{\"Spec\":\"\xff\"}");
+    const auto* error = std::get_if<job_decode_error>(&decoded);
+    ASSERT_NE(error, nullptr);
+    EXPECT_NO_THROW(static_cast<void>(json(error->detail).dump())) << error->detail;
+}
+
 TEST(job_codec, validates_job_ids) {
     EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
     EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
@@ -255,6 +375,67 @@
     }
 }
 
+json valid_report() {
+    return json::parse(
+        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":8,"State":"ready","ColdLeftMs":0,
+            "Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1-3"],"ClockMs":482113,"SeqNo":4,"born":17})");
+}
+
+// Guards against an odd report of another writer that is used, or that keeps valid ones from being used.
+TEST(registration_codec, one_odd_report_names_no_backend_server_and_hides_no_other) {
+    std::vector<std::string> odd_reports{"",     "7", "[]",       "\"text\"",
+                                         "null", "{", "\xff\xfe", std::string(1 << 20, '[')};
+    const auto add = [&](const std::string& path, const std::string& text) {
+        json report = valid_report();
+        report[json::json_pointer{path}] = "placeholder";
+        std::string body = report.dump();
+        const std::string placeholder = "\"placeholder\"";
+        odd_reports.push_back(body.replace(body.find(placeholder), placeholder.size(), text));
+    };
+    for (const char* name : {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdLeftMs",
+                             "Capacity", "SeqNo", "born"}) {
+        json report = valid_report();
+        report.erase(name);
+        odd_reports.push_back(report.dump());
+        for (const char* text : {"null", "true", "[]", "{}", "[[[[7]]]]"})
+            add(std::string{"/"} + name, text);
+    }
+    for (const char* path : {"/Slots", "/ColdLeftMs", "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu",
+                             "/ClockMs", "/SeqNo", "/born"}) {
+        for (const char* text : {"-1", "1e400", "-1e300", "\"8\""})
+            add(path, text);
+    }
+    for (const char* path :
+         {"/Slots", "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu", "/ClockMs", "/SeqNo", "/born"}) {
+        for (const char* text :
+             {"1e300", "0.5", "9223372036854775807", "18446744073709551615", "99999999999999999999"})
+            add(path, text);
+    }
+    for (const char* text :
+         {"\"10.0.0.9\"", "\"10.0.0.9:\"", "\"10.0.0.9:0\"", "\"10.0.0.9:65536\"", "\"10.0.0.9:-1\"",
+          "\"10.0.0.9:99999999999999999999\"", "\"10.0.0.999:80\"", "\":80\"", "\"\""})
+        add("/Address", text);
+    for (const char* text : {"\"resting\"", "\"\""})
+        add("/State", text);
+    for (const char* text : {"7", "[7]", "{}"})
+        add("/Labels", text);
+    add("/x", std::string(40, '[') + std::string(40, ']'));
+
+    const std::string valid = valid_report().dump();
+    for (const std::string& report : odd_reports) {
+        EXPECT_FALSE(decode_announcement("i-1", report)) << report.substr(0, 300);
+        ASSERT_TRUE(decode_announcement("i-2", valid)) << report.substr(0, 300);
+    }
+}
+
+// Guards against a deeply nested announcement that takes more memory than an agent has.
+TEST(registration_codec, ignores_a_deeply_nested_report) {
+    std::string report = valid_report().dump();
+    ASSERT_TRUE(decode_announcement("i-1", report));
+    report.replace(report.size() - 1, 1, ",\"x\":" + deep_value() + "}");
+    EXPECT_FALSE(decode_announcement("i-1", report));
+}
+
 // ---- Operators ----
 
 store_item text_item(const std::string& key, const std::string& text, std::uint64_t revision) {
