Report the end of a run that has the number of one given up

The agent had reported run 1 as lapsed, with the lease of the former life, and keeps the names of such runs to acknowledge their ends without a second report. The caller sent its job again, the runs counted from 1 again, and run 1 started at the new life. Its end was taken for that of the run given up: acknowledged and not reported.

The end is now reported if the agent knows such a run, since the record of a run is erased when it is given up.

reports_the_end_of_a_run_with_the_number_of_a_run_given_up failed before.

--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -331,13 +331,13 @@
     end_acknowledger_.listed(end.number);
     if (end_acknowledger_.is_recorded(end.number))
         return;
+    run_record* record = runs_.find(end.run);
     // The lease of this run expired and the agent reported it as ended, so the listed end is acknowledged
-    // without a further report.
-    if (abandoned_runs_.contains(end.run)) {
+    // without a further report. A run with the same number that has been started since is reported.
+    if (record == nullptr && abandoned_runs_.contains(end.run)) {
         end_acknowledger_.mark_recorded(end.number);
         return;
     }
-    run_record* record = runs_.find(end.run);
     if (record == nullptr) {
         // The run was unknown to this agent, so its real start times are not known either.
         run_record found;
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -238,6 +238,31 @@
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
 
+// Guards against the loss of an end: a caller sends its job again, and a run gets the number of one that was
+// given up with a former life of the backend server.
+TEST_F(agent_core_test, reports_the_end_of_a_run_with_the_number_of_a_run_given_up) {
+    constexpr std::uint64_t next_life = 1001;
+    connect_and_synchronize();
+    send_starts(1, false);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    for (int i = 0; i < 20 && !was_reported(run_of(0), run_state::lapsed); ++i) {
+        send_pong();
+        advance_time(milliseconds{100});
+    }
+    ASSERT_TRUE(was_reported(run_of(0), run_state::lapsed));
+    announce(profile(next_life));
+    send_starts(1, false);
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    answer(*start, backend_verdict::accepted, {}, {}, next_life);
+    advance_time(milliseconds{1});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {{1, run_of(0), run_state::done, {}}},
+           next_life);
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
