Take a full list of ends for no proof that a start is void

A backend server lists 500 ends at a time. With as many ends that are not yet acknowledged, the lists after a raised token may lack the end of a run whose start got no answer. The agent took that for proof that the order was void and ordered the run again. The backend server refuses it as an old run, and the entry then starts a further run of a task that may have ended done.

A full list now proves nothing about runs that are not in it, as it already was for runs known to work. The start stays open until a list with fewer ends is read.

does_not_take_a_full_list_of_ends_for_proof_that_a_start_is_void failed before.

--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -322,9 +322,11 @@
     }
     if (!is_synchronized_ && hold.order.fencing_token == fencing_token_)
         complete_synchronization(now);
+    // A full list may lack further ends.
+    if (reply.ended.size() >= max_listed_ends)
+        return;
     resolve_unanswered_starts(hold, listed, now);
-    if (reply.ended.size() < max_listed_ends)
-        end_missing_runs(hold, listed, now);
+    end_missing_runs(hold, listed, now);
 }
 
 void agent_core::process_listed_end(const listed_end& end, time_point now) {
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -263,6 +263,24 @@
     EXPECT_TRUE(was_reported(run_of(0), run_state::done));
 }
 
+// Guards against a second start of a task whose first run has ended: a full list may lack its end.
+TEST_F(agent_core_test, does_not_take_a_full_list_of_ends_for_proof_that_a_start_is_void) {
+    connect_and_synchronize();
+    send_starts(1, false);
+    const backend_order regular = *take_order<hold_order>();
+    answer(*take_order<start_order>(), backend_verdict::no_answer);
+    std::vector<listed_end> ends;
+    for (std::uint64_t number = 1; number <= 500; ++number)
+        ends.push_back({number, run_of(static_cast<task_index>(number), "other"), run_state::done, {}});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, ends);
+    EXPECT_FALSE(take_order<start_order>());
+    answer(regular, backend_verdict::fenced);
+    const auto next = take_order<hold_order>();
+    ASSERT_TRUE(next);
+    answer(*next, backend_verdict::accepted, {}, {{501, run_of(0), run_state::done, {}}});
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
