--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -238,6 +238,49 @@
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
 
+// Guards against the loss of an end: a caller sends its job again, and a run gets the number of one that was
+// given up with a former life of the backend server.
+TEST_F(agent_core_test, reports_the_end_of_a_run_with_the_number_of_a_run_given_up) {
+    constexpr std::uint64_t next_life = 1001;
+    connect_and_synchronize();
+    send_starts(1, false);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    for (int i = 0; i < 20 && !was_reported(run_of(0), run_state::lapsed); ++i) {
+        send_pong();
+        advance_time(milliseconds{100});
+    }
+    ASSERT_TRUE(was_reported(run_of(0), run_state::lapsed));
+    announce(profile(next_life));
+    send_starts(1, false);
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    answer(*start, backend_verdict::accepted, {}, {}, next_life);
+    advance_time(milliseconds{1});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {{1, run_of(0), run_state::done, {}}},
+           next_life);
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
+// Guards against a second start of a task whose first run has ended: a full list may lack its end.
+TEST_F(agent_core_test, does_not_take_a_full_list_of_ends_for_proof_that_a_start_is_void) {
+    connect_and_synchronize();
+    send_starts(1, false);
+    const backend_order regular = *take_order<hold_order>();
+    answer(*take_order<start_order>(), backend_verdict::no_answer);
+    std::vector<listed_end> ends;
+    for (std::uint64_t number = 1; number <= 500; ++number)
+        ends.push_back({number, run_of(static_cast<task_index>(number), "other"), run_state::done, {}});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, ends);
+    EXPECT_FALSE(take_order<start_order>());
+    answer(regular, backend_verdict::fenced);
+    const auto next = take_order<hold_order>();
+    ASSERT_TRUE(next);
+    answer(*next, backend_verdict::accepted, {}, {{501, run_of(0), run_state::done, {}}});
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
