Follow the store past an item that cannot be read

One unreadable item in the answer of the store made the whole answer a failure. A listing failed for ever, and a watch asked again for the same changes for ever, so the process no longer followed its keys. An item with a value but without a revision counted as deleted.

The store writes these members itself, so another writer reaches this only through a fault of the store. Found by reading; no record shows that it happened.

--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -1,4 +1,5 @@
 #include "coordination/member_directory.h"
+#include "coordination/prefix_view.h"
 #include "coordination/store_keys.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
@@ -154,6 +155,34 @@
     }
 }
 
+// Guards against a view that stops following its keys at an item that cannot be read.
+TEST(store_codec, one_unreadable_item_hides_no_other) {
+    const std::string valid = R"({"Key":"op/a","Value":"eA==","Revision":4})";
+    for (const std::string odd :
+         {"7", "null", "[]", "{}", R"({"Key":7})", R"({"Key":"op/b","Value":"eA=="})",
+          R"({"Key":"op/b","Value":"eA==","Revision":"5"})", R"({"Key":"op/b","Value":"eA==","Revision":-5})",
+          R"({"Key":"op/b","Value":"eA==","Revision":1e300})",
+          R"({"Key":"op/b","Revision":5,"Deleted":"yes"})"}) {
+        const std::string items = "[" + odd + "," + valid + "]";
+        const store_reply listed = decode_store_answer(
+            store_list{"op/", {}}, make_answer(200, R"({"StoreRevision":5,"items":)" + items + "}"));
+        ASSERT_TRUE(std::holds_alternative<item_listing>(listed)) << odd;
+        ASSERT_EQ(std::get<item_listing>(listed).items.size(), 1U) << odd;
+        EXPECT_EQ(std::get<item_listing>(listed).items[0].key, "op/a") << odd;
+
+        prefix_view view{"op/", milliseconds{1000}};
+        const time_point now{std::chrono::seconds{100}};
+        view.replied(view.take_calls(now).at(0).id, listed, now);
+        const prefix_view::call watch = view.take_calls(now).at(0);
+        ASSERT_TRUE(std::holds_alternative<store_watch>(watch.what));
+        const http_answer changes = make_answer(200, R"({"StoreRevision":6,"events":)" + items + "}");
+        view.replied(watch.id, decode_store_answer(watch.what, changes), now);
+        const std::vector<prefix_view::call> next = view.take_calls(now);
+        ASSERT_EQ(next.size(), 1U) << odd;
+        EXPECT_TRUE(std::holds_alternative<store_list>(next[0].what)) << odd;
+    }
+}
+
 // ---- Orders ----
 
 TEST(order_codec, formats_and_parses_task_names) {
