--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -155,6 +155,22 @@
     }
 }
 
+// Guards against an address that cannot be dialed and that takes the place of another entry at the agents.
+TEST(store_codec, an_entry_with_an_impossible_address_is_no_member) {
+    for (const std::string address :
+         {"", "10.0.0.2", "10.0.0.2:", "10.0.0.2:0", "10.0.0.2:65536", "10.0.0.2:-1",
+          "10.0.0.2:99999999999999999999", "10.0.0.999:7720", "host:7720", "[::1:7720"}) {
+        const std::string value =
+            encode_base64(encode_record(stored_record{entry_record{{"b", 1}, address, "z"}}));
+        const store_reply reply =
+            decode_store_answer(store_list{member_prefix, {}}, make_answer(200, listing_with(value)));
+        member_directory members;
+        members.reset(std::get<item_listing>(reply).items, time_point{});
+        EXPECT_EQ(members.find_entry("b"), nullptr) << address;
+        EXPECT_EQ(members.entries().size(), 2U) << address;
+    }
+}
+
 // Guards against a view that stops following its keys at an item that cannot be read.
 TEST(store_codec, one_unreadable_item_hides_no_other) {
     const std::string valid = R"({"Key":"op/a","Value":"eA==","Revision":4})";
