--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -385,6 +385,41 @@
     EXPECT_NO_THROW(static_cast<void>(json(error->detail).dump())) << error->detail;
 }
 
+// Guards against needs and times whose sums overflow, and against needs that add capacity.
+TEST(job_codec, rejects_impossible_numbers) {
+    const auto is_valid = [](const std::string& step, const std::string& job) {
+        return std::holds_alternative<job_plan>(
+            decode_job(R"({"Steps":[{"Count":1},{"Count":2)" + step + "}]" + job + "}"));
+    };
+    const auto member = [](const std::string& name, const std::string& value) {
+        return ",\"" + name + "\":" + value;
+    };
+    for (const char* name : {"Cpu", "MemMb", "Gpu", "EstRuntimeMs", "AntiAffinity"}) {
+        EXPECT_TRUE(is_valid(member(name, "7"), "")) << name;
+        for (const char* odd : {"-1", "0.5", "1e300", "9223372036854775807", "18446744073709551615"})
+            EXPECT_FALSE(is_valid(member(name, odd), "")) << name << ' ' << odd;
+    }
+    for (const char* name : {"RepeatCount", "StartAtMs", "IntervalMs"}) {
+        EXPECT_TRUE(is_valid("", member(name, "7"))) << name;
+        for (const char* odd : {"-1", "0.5", "1e300", "9223372036854775807", "18446744073709551615"})
+            EXPECT_FALSE(is_valid("", member(name, odd))) << name << ' ' << odd;
+    }
+    EXPECT_TRUE(is_valid(member("After", "[0]"), ""));
+    for (const char* odd : {"[1]", "[-1]", "[0.5]", "[4294967296]", "[1e300]", "[[[0]]]"})
+        EXPECT_FALSE(is_valid(member("After", odd), "")) << odd;
+}
+
+// Guards against a job whose tasks alone exhaust the memory of each entry that takes it up.
+TEST(job_codec, rejects_jobs_with_more_tasks_than_memory) {
+    std::string steps = R"({"Count":10000})";
+    for (int i = 1; i < 1000; ++i)
+        steps += R"(,{"Count":10000})";
+    EXPECT_TRUE(std::holds_alternative<job_decode_error>(decode_job("{\"Steps\":[" + steps + "]}")));
+    const std::string repeated = R"({"Steps":[{"Count":10000}],"RepeatCount":)";
+    EXPECT_TRUE(std::holds_alternative<job_plan>(decode_job(repeated + "100}")));
+    EXPECT_TRUE(std::holds_alternative<job_decode_error>(decode_job(repeated + "1000000}")));
+}
+
 TEST(job_codec, validates_job_ids) {
     EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
     EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
