--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -1,4 +1,5 @@
 #include "coordination/member_directory.h"
+#include "coordination/prefix_view.h"
 #include "coordination/store_keys.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
@@ -154,6 +155,50 @@
     }
 }
 
+// Guards against an address that cannot be dialed and that takes the place of another entry at the agents.
+TEST(store_codec, an_entry_with_an_impossible_address_is_no_member) {
+    for (const std::string address :
+         {"", "10.0.0.2", "10.0.0.2:", "10.0.0.2:0", "10.0.0.2:65536", "10.0.0.2:-1",
+          "10.0.0.2:99999999999999999999", "10.0.0.999:7720", "host:7720", "[::1:7720"}) {
+        const std::string value =
+            encode_base64(encode_record(stored_record{entry_record{{"b", 1}, address, "z"}}));
+        const store_reply reply =
+            decode_store_answer(store_list{member_prefix, {}}, make_answer(200, listing_with(value)));
+        member_directory members;
+        members.reset(std::get<item_listing>(reply).items, time_point{});
+        EXPECT_EQ(members.find_entry("b"), nullptr) << address;
+        EXPECT_EQ(members.entries().size(), 2U) << address;
+    }
+}
+
+// Guards against a view that stops following its keys at an item that cannot be read.
+TEST(store_codec, one_unreadable_item_hides_no_other) {
+    const std::string valid = R"({"Key":"op/a","Value":"eA==","Revision":4})";
+    for (const std::string odd :
+         {"7", "null", "[]", "{}", R"({"Key":7})", R"({"Key":"op/b","Value":"eA=="})",
+          R"({"Key":"op/b","Value":"eA==","Revision":"5"})", R"({"Key":"op/b","Value":"eA==","Revision":-5})",
+          R"({"Key":"op/b","Value":"eA==","Revision":1e300})",
+          R"({"Key":"op/b","Revision":5,"Deleted":"yes"})"}) {
+        const std::string items = "[" + odd + "," + valid + "]";
+        const store_reply listed = decode_store_answer(
+            store_list{"op/", {}}, make_answer(200, R"({"StoreRevision":5,"items":)" + items + "}"));
+        ASSERT_TRUE(std::holds_alternative<item_listing>(listed)) << odd;
+        ASSERT_EQ(std::get<item_listing>(listed).items.size(), 1U) << odd;
+        EXPECT_EQ(std::get<item_listing>(listed).items[0].key, "op/a") << odd;
+
+        prefix_view view{"op/", milliseconds{1000}};
+        const time_point now{std::chrono::seconds{100}};
+        view.replied(view.take_calls(now).at(0).id, listed, now);
+        const prefix_view::call watch = view.take_calls(now).at(0);
+        ASSERT_TRUE(std::holds_alternative<store_watch>(watch.what));
+        const http_answer changes = make_answer(200, R"({"StoreRevision":6,"events":)" + items + "}");
+        view.replied(watch.id, decode_store_answer(watch.what, changes), now);
+        const std::vector<prefix_view::call> next = view.take_calls(now);
+        ASSERT_EQ(next.size(), 1U) << odd;
+        EXPECT_TRUE(std::holds_alternative<store_list>(next[0].what)) << odd;
+    }
+}
+
 // ---- Orders ----
 
 TEST(order_codec, formats_and_parses_task_names) {
@@ -340,6 +385,41 @@
     EXPECT_NO_THROW(static_cast<void>(json(error->detail).dump())) << error->detail;
 }
 
+// Guards against needs and times whose sums overflow, and against needs that add capacity.
+TEST(job_codec, rejects_impossible_numbers) {
+    const auto is_valid = [](const std::string& step, const std::string& job) {
+        return std::holds_alternative<job_plan>(
+            decode_job(R"({"Steps":[{"Count":1},{"Count":2)" + step + "}]" + job + "}"));
+    };
+    const auto member = [](const std::string& name, const std::string& value) {
+        return ",\"" + name + "\":" + value;
+    };
+    for (const char* name : {"Cpu", "MemMb", "Gpu", "EstRuntimeMs", "AntiAffinity"}) {
+        EXPECT_TRUE(is_valid(member(name, "7"), "")) << name;
+        for (const char* odd : {"-1", "0.5", "1e300", "9223372036854775807", "18446744073709551615"})
+            EXPECT_FALSE(is_valid(member(name, odd), "")) << name << ' ' << odd;
+    }
+    for (const char* name : {"RepeatCount", "StartAtMs", "IntervalMs"}) {
+        EXPECT_TRUE(is_valid("", member(name, "7"))) << name;
+        for (const char* odd : {"-1", "0.5", "1e300", "9223372036854775807", "18446744073709551615"})
+            EXPECT_FALSE(is_valid("", member(name, odd))) << name << ' ' << odd;
+    }
+    EXPECT_TRUE(is_valid(member("After", "[0]"), ""));
+    for (const char* odd : {"[1]", "[-1]", "[0.5]", "[4294967296]", "[1e300]", "[[[0]]]"})
+        EXPECT_FALSE(is_valid(member("After", odd), "")) << odd;
+}
+
+// Guards against a job whose tasks alone exhaust the memory of each entry that takes it up.
+TEST(job_codec, rejects_jobs_with_more_tasks_than_memory) {
+    std::string steps = R"({"Count":10000})";
+    for (int i = 1; i < 1000; ++i)
+        steps += R"(,{"Count":10000})";
+    EXPECT_TRUE(std::holds_alternative<job_decode_error>(decode_job("{\"Steps\":[" + steps + "]}")));
+    const std::string repeated = R"({"Steps":[{"Count":10000}],"RepeatCount":)";
+    EXPECT_TRUE(std::holds_alternative<job_plan>(decode_job(repeated + "100}")));
+    EXPECT_TRUE(std::holds_alternative<job_decode_error>(decode_job(repeated + "1000000}")));
+}
+
 TEST(job_codec, validates_job_ids) {
     EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
     EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
