Publish no inventory before the leases of an earlier process expire

An agent that restarts reads the lists of the backend server at its address and then tells the entries which runs exist. If the backend server was replaced a moment before, the lists are those of the replacement, and the entries start all runs of the former one again, although these go on until their lease expires. Only the running agent remembered the runs of a former one.

The inventories now wait until the leases that the earlier process can have requested have expired, about 1.1 s after the start. A backend server that has been up for that long needs no wait: since its start no other one has received an order at this address. Its clock counts from its start, so a restart of the agent alone costs nothing.

In the random histories a replacement now announces itself at its start. start_no_task_twice_when_an_agent_restarts_beside_a_replacement showed two runs at once before, with restarts 0 to 300 ms after the replacement. sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire guards the wait.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -11,6 +11,7 @@
     : self_{std::move(self)}
     , zone_{std::move(zone)}
     , limits_{limits}
+    , former_leases_expired_at_{now + limits.max_lease_lifetime()}
     , all_leases_expired_at_{now + limits.max_lease_lifetime()}
     , order_round_trip_{limits.max_order_timeout, limits.min_order_timeout, limits.max_order_timeout} {}
 
@@ -31,11 +32,8 @@
 }
 
 void agent_core::tick(time_point now) {
-    // Without a backend server no lease is renewed, so no run of an earlier agent process can outlast the
-    // leases that were requested so far.
-    if (!are_inventories_published_ && backend_.id.empty() && now >= all_leases_expired_at_) {
+    if (!are_inventories_published_ && may_publish_inventories(now))
         publish_inventories(now);
-    }
     check_owner_contact(now);
     check_timeouts(now);
     forget_ended_backend(now);
@@ -65,6 +63,8 @@
         next = std::min(next, now + limits_.max_hold_wait);
     if (candidate_ && candidate_order_id_ == 0)
         next = std::min(next, next_candidate_check_);
+    if (!are_inventories_published_ && is_synchronized_)
+        next = std::min(next, std::max(now + limits_.min_list_interval, former_leases_expired_at_));
     if (next_detached_expiry_ != time_point::max())
         next = std::min(next, std::max(now + limits_.min_list_interval, next_detached_expiry_));
     if (backend_health_.is_avoided(now))
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -157,6 +157,7 @@
     void detach_backend(time_point now);
     void end_expired_detached_runs(time_point now);
     void complete_synchronization(time_point now);
+    bool may_publish_inventories(time_point now) const;
     void publish_inventories(time_point now);
     void offer_orphans(time_point now);
     void send_inventories(link_number link, time_point now);
@@ -236,6 +237,8 @@
     std::uint64_t confirmed_end_ = 0;
     // Runs that this agent reported as ended before the backend server listed their end.
     std::set<run_ref> abandoned_runs_;
+    // Time by which all leases that an earlier process of this agent requested have expired.
+    time_point former_leases_expired_at_{};
     // Time by which all leases that were requested so far have expired.
     time_point all_leases_expired_at_{};
 
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -468,10 +468,20 @@
                     {{"backend", backend_.id},
                      {"token", static_cast<std::int64_t>(fencing_token_)},
                      {"runs", static_cast<std::int64_t>(runs_.size())}});
-    if (!are_inventories_published_)
+    if (!are_inventories_published_ && may_publish_inventories(now))
         publish_inventories(now);
 }
 
+// Without a backend server no lease is renewed, so no run of an earlier agent process can outlast the leases
+// that were requested so far. A backend server that has started since then may have replaced one that goes
+// on until its lease expires.
+bool agent_core::may_publish_inventories(time_point now) const {
+    if (backend_.id.empty())
+        return now >= all_leases_expired_at_;
+    const milliseconds uptime{backend_clock_.at(now)};
+    return is_synchronized_ && (uptime >= limits_.max_lease_lifetime() || now >= former_leases_expired_at_);
+}
+
 void agent_core::publish_inventories(time_point now) {
     are_inventories_published_ = true;
     for (const auto& [link, state] : links_)
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -281,6 +281,25 @@
     EXPECT_TRUE(was_reported(run_of(0), run_state::done));
 }
 
+// Guards against a second run of a task beside one at a backend server that was replaced while the agent
+// restarted, and that goes on until its lease expires.
+TEST_F(agent_core_test, sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire) {
+    const auto has_sent_inventory = [&] {
+        return std::any_of(messages_.begin(), messages_.end(), [](const work_message& message) {
+            return std::holds_alternative<run_inventory>(message);
+        });
+    };
+    backend_clock_ms_ = 100;
+    connect();
+    agent_.announced({profile(), 1, backend_clock_ms_}, now_);
+    collect();
+    answer(*take_order<hold_order>(), backend_verdict::accepted);
+    advance_time(agent_limits{}.max_lease - backend_clock_ms_ * milliseconds{1});
+    EXPECT_FALSE(has_sent_inventory());
+    advance_time(milliseconds{100});
+    EXPECT_TRUE(has_sent_inventory());
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -176,6 +176,7 @@
         log_event("backend server of " + node.name + " loses its address and goes on");
         node.former_backends.push_back(std::move(node.backend));
         node.backend = make_backend(index, id, life);
+        schedule(since_start() + milliseconds{30}, [this, index] { deliver_announcement(index); });
     }
     // Repeats an announcement of a backend server that is not at the agent's address.
     void announce_repeatedly(int index, const backend_profile& profile, std::uint64_t sequence, int times) {
@@ -209,6 +210,11 @@
         job.tasks = tasks;
         send_job(job_name(number), entry);
     }
+    void set_work(int number, task_index task, milliseconds work) {
+        work_[{job_name(number), 0, 0, task}] = work;
+        for (const auto& node : agents_)
+            node->backend->set_work({job_name(number), 0, 0, task}, work);
+    }
     order_backend& backend(int index) { return *agents_[index]->backend; }
     entry_core* entry(int index) { return entries_[index]->core.get(); }
     agent_core* agent(int index) { return agents_[index]->core.get(); }
@@ -400,6 +406,11 @@
     }
 
     void announce(int index) {
+        deliver_announcement(index);
+        schedule(since_start() + milliseconds{1500}, [this, index] { announce(index); });
+    }
+
+    void deliver_announcement(int index) {
         agent_node& node = *agents_[index];
         if (node.core && !is_frozen(node.name) && now_ >= backend_down_until_[node.name]) {
             backend_announcement announcement = node.backend->announce(now_);
@@ -408,7 +419,6 @@
             node.core->announced(announcement, now_);
             flush(node);
         }
-        schedule(since_start() + milliseconds{1500}, [this, index] { announce(index); });
     }
 
     entry_node* find_entry(const std::string& name) {
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -103,6 +103,29 @@
     run_histories(chosen);
 }
 
+// Guards against the same when the agent restarts and knows only the replacement.
+TEST(dispatch_histories, start_no_task_twice_when_an_agent_restarts_beside_a_replacement) {
+    for (const int delay : {0, 10, 50, 300, 600}) {
+        dispatch_simulation::options chosen;
+        chosen.agents = 2;
+        chosen.jobs = 0;
+        chosen.faults = 0;
+        dispatch_simulation simulation{chosen};
+        simulation.schedule(milliseconds{4000}, [&] {
+            for (task_index task = 0; task < 4; ++task)
+                simulation.set_work(1, task, milliseconds{900});
+            simulation.submit(1, true, 0, 4);
+        });
+        simulation.schedule(milliseconds{4100},
+                            [&] { simulation.replace_running_backend(0, "replacement", 1100); });
+        simulation.schedule(milliseconds{4100 + delay}, [&] { simulation.kill_agent(0, milliseconds{20}); });
+        const std::vector<std::string> violations = simulation.run();
+        EXPECT_TRUE(violations.empty()) << "after " << delay << " ms\n"
+                                        << join_lines(violations) << simulation.history();
+        EXPECT_EQ(simulation.completed(), 1U);
+    }
+}
+
 // Guards against a durable job that never ends: an entry adopts a session at the moment when it is adopted
 // itself, and its successor does not know of the first adoption. Found with this seed.
 TEST(dispatch_histories, a_successor_adopts_what_its_predecessor_had_adopted) {
