Remove a run from the agent's queue when its record ends

A run that was withdrawn or refused stayed in the queue until the next pass over it, and there is none while found runs hold all starts back. The caller sent its job again, the run came with the same number and was in the queue twice. At the queue timeout it was refused twice, the second time without a record.

A run now leaves the queue when its record ends. refuses_a_run_once_that_was_queued_twice crashed before.

--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -7,6 +7,9 @@
 namespace persimmonstile {
 
 void agent_core::end_run(run_record& record, run_state state, run_refusal reason, time_point now) {
+    // The run may be requested again with the same number, and must not be in the queue twice then.
+    if (record.state == run_state::queued)
+        std::erase(queue_, record.run);
     runs_.set_state(record, state);
     record.reason = reason;
     record.ended = now;
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -300,6 +300,21 @@
     EXPECT_TRUE(has_sent_inventory());
 }
 
+// Guards against a crash: a run was withdrawn and requested again while found runs held all starts back.
+TEST_F(agent_core_test, refuses_a_run_once_that_was_queued_twice) {
+    connect();
+    announce(profile());
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, "found"), {}, 0}});
+    send_starts(1, false);
+    agent_.received(entry_link, run_stop_request{process_, {run_of(0)}}, now_);
+    send_starts(1, false);
+    EXPECT_EQ(agent_.queued_runs(), 1U);
+    advance_time(agent_limits{}.queue_timeout);
+    ASSERT_TRUE(last_report(run_of(0)));
+    EXPECT_EQ(last_report(run_of(0))->reason, run_refusal::no_room);
+    EXPECT_EQ(agent_.queued_runs(), 0U);
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
