--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -281,6 +281,40 @@
     EXPECT_TRUE(was_reported(run_of(0), run_state::done));
 }
 
+// Guards against a second run of a task beside one at a backend server that was replaced while the agent
+// restarted, and that goes on until its lease expires.
+TEST_F(agent_core_test, sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire) {
+    const auto has_sent_inventory = [&] {
+        return std::any_of(messages_.begin(), messages_.end(), [](const work_message& message) {
+            return std::holds_alternative<run_inventory>(message);
+        });
+    };
+    backend_clock_ms_ = 100;
+    connect();
+    agent_.announced({profile(), 1, backend_clock_ms_}, now_);
+    collect();
+    answer(*take_order<hold_order>(), backend_verdict::accepted);
+    advance_time(agent_limits{}.max_lease - backend_clock_ms_ * milliseconds{1});
+    EXPECT_FALSE(has_sent_inventory());
+    advance_time(milliseconds{100});
+    EXPECT_TRUE(has_sent_inventory());
+}
+
+// Guards against a crash: a run was withdrawn and requested again while found runs held all starts back.
+TEST_F(agent_core_test, refuses_a_run_once_that_was_queued_twice) {
+    connect();
+    announce(profile());
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, "found"), {}, 0}});
+    send_starts(1, false);
+    agent_.received(entry_link, run_stop_request{process_, {run_of(0)}}, now_);
+    send_starts(1, false);
+    EXPECT_EQ(agent_.queued_runs(), 1U);
+    advance_time(agent_limits{}.queue_timeout);
+    ASSERT_TRUE(last_report(run_of(0)));
+    EXPECT_EQ(last_report(run_of(0))->reason, run_refusal::no_room);
+    EXPECT_EQ(agent_.queued_runs(), 0U);
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
