Hold back only the inventories of durable jobs

For jobs that are not durable the wait is not needed: an entry that has runs at the former backend server knows it, and waits for their leases by itself; a new entry has no such jobs. Only the inventories of durable jobs wait now, which a successor may read that never knew the former server.

The test of the wait now checks the inventories of the session and of a deposed owner, and that the one of the process is sent at once. It fails without the wait as before.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -32,7 +32,9 @@
 }
 
 void agent_core::tick(time_point now) {
-    if (!are_inventories_published_ && may_publish_inventories(now))
+    const bool is_publishable =
+        are_inventories_published_ ? may_publish_durable_inventories(now) : may_publish_inventories(now);
+    if (!are_durable_inventories_published_ && is_publishable)
         publish_inventories(now);
     check_owner_contact(now);
     check_timeouts(now);
@@ -63,7 +65,7 @@
         next = std::min(next, now + limits_.max_hold_wait);
     if (candidate_ && candidate_order_id_ == 0)
         next = std::min(next, next_candidate_check_);
-    if (!are_inventories_published_ && is_synchronized_)
+    if (!are_durable_inventories_published_ && is_synchronized_)
         next = std::min(next, std::max(now + limits_.min_list_interval, former_leases_expired_at_));
     if (next_detached_expiry_ != time_point::max())
         next = std::min(next, std::max(now + limits_.min_list_interval, next_detached_expiry_));
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -160,6 +160,7 @@
     void end_expired_detached_runs(time_point now);
     void complete_synchronization(time_point now);
     bool may_publish_inventories(time_point now) const;
+    bool may_publish_durable_inventories(time_point now) const;
     void publish_inventories(time_point now);
     void offer_orphans(time_point now);
     void send_inventories(link_number link, time_point now);
@@ -231,6 +232,8 @@
     bool is_unresponsive_ = false;
     // The inventories were sent, so owners may conclude that a run that is not listed does not exist.
     bool are_inventories_published_ = false;
+    // The same for the runs of durable jobs.
+    bool are_durable_inventories_published_ = false;
     bool is_shutting_down_ = false;
     end_acknowledger end_acknowledger_;
     // Send time of the latest order that the backend server answered in this lifetime.
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -252,7 +252,7 @@
     // Until the backend server's lists are read, an inventory would be incomplete, and the successor would
     // treat runs that are missing in it as not started. Runs without an owner are sent first, because the
     // successor may not have known their jobs when they were last offered.
-    if (!are_inventories_published_)
+    if (!are_durable_inventories_published_)
         return;
     send_inventory(link, {}, now);
     output_.messages.emplace_back(link, std::move(inventory));
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -498,18 +498,23 @@
 }
 
 // No lease is renewed without a backend server or at a silent one, so no run of an earlier agent process can
-// outlast the leases that were requested so far. A backend server that has started since then may have
-// replaced one that goes on until its lease expires.
+// outlast the leases that were requested so far.
 bool agent_core::may_publish_inventories(time_point now) const {
     const bool is_renewing = !backend_.id.empty() && !is_unresponsive_;
-    if (!is_renewing && now >= all_leases_expired_at_)
-        return true;
+    return is_synchronized_ || (!is_renewing && now >= all_leases_expired_at_);
+}
+
+// A backend server that has started since this process may have replaced one that goes on until its lease
+// expires. Entries that were connected before notice this, but a successor of theirs does not.
+bool agent_core::may_publish_durable_inventories(time_point now) const {
     const milliseconds uptime{backend_clock_.at(now)};
-    return is_synchronized_ && (uptime >= limits_.max_lease_lifetime() || now >= former_leases_expired_at_);
+    return are_inventories_published_ &&
+           (!is_synchronized_ || uptime >= limits_.max_lease_lifetime() || now >= former_leases_expired_at_);
 }
 
 void agent_core::publish_inventories(time_point now) {
     are_inventories_published_ = true;
+    are_durable_inventories_published_ = may_publish_durable_inventories(now);
     for (const auto& [link, state] : links_)
         send_inventories(link, now);
 }
@@ -522,6 +527,8 @@
     // Runs without a known owner are sent first, or their owner would treat them as lost.
     send_inventory(link, {}, now);
     send_inventory(link, state.process, now);
+    if (!are_durable_inventories_published_)
+        return;
     if (!state.session.name.empty())
         send_inventory(link, state.session, now);
     for (const auto& [former, successor] : deposed_owners_) {
