Check for starts after a success that is acknowledged later

The check saw only starts after the acknowledgement, so a task that ran again and whose first success was acknowledged afterwards passed unseen.

a_run_after_a_success_that_is_acknowledged_later_is_seen failed before.

--- a/soak/promise_check.cpp
+++ b/soak/promise_check.cpp
@@ -102,7 +102,7 @@
         ended(backend, event);
         return;
     case order_backend::event::kind::noted:
-        noted(event);
+        noted(backend, event);
         return;
     }
 }
@@ -130,6 +130,7 @@
     if (job.plan.is_durable && task.acknowledged_failures >= job.max_attempts)
         report("attempts", name + " begins after all attempts have failed");
     task.active.emplace(std::pair{backend.id, run.run}, now);
+    ++task.starts;
     backend_record& room = backends_[backend.id];
     const std::int64_t needs = job.plan.steps[run.task.step].task_needs.cpu_millicores;
     room.millicores[run] = needs;
@@ -172,17 +173,26 @@
     const std::pair key{event.run.task.step, event.run.task.index};
     task_record& task = found->second.tasks[key];
     task.active.erase({backend.id, event.run.run});
-    task.done += event.final_state == run_state::done ? 1 : 0;
+    if (event.final_state == run_state::done) {
+        ++task.done;
+        task.done_runs[{backend.id, event.run.run}] = task.starts;
+    }
     task.failed += event.final_state == run_state::failed ? 1 : 0;
 }
 
-void promise_check::noted(const order_backend::event& event) {
+void promise_check::noted(const backend_profile& backend, const order_backend::event& event) {
     const auto found = jobs_.find(event.run.task.job);
     if (found == jobs_.end())
         return;
     task_record& task = found->second.tasks[{event.run.task.step, event.run.task.index}];
-    if (event.final_state == run_state::done)
+    if (event.final_state == run_state::done) {
+        const auto run = task.done_runs.find({backend.id, event.run.run});
+        if (found->second.plan.is_durable && !task.is_done_acknowledged && run != task.done_runs.end() &&
+            run->second < task.starts)
+            report("one run", name_of(event.run) + " at " + backend.id +
+                                  " has its end with success acknowledged after a later start");
         task.is_done_acknowledged = true;
+    }
     if (event.final_state == run_state::failed)
         ++task.acknowledged_failures;
 }
--- a/soak/promise_check.h
+++ b/soak/promise_check.h
@@ -74,6 +74,9 @@
     struct task_record {
         // Where runs of the task are active, with their numbers, and since when.
         std::map<std::pair<std::string, run_number>, time_point> active;
+        // Runs that ended with success, with the number of starts of the task up to then.
+        std::map<std::pair<std::string, run_number>, std::uint32_t> done_runs;
+        std::uint32_t starts = 0;
         std::uint32_t done = 0;
         std::uint32_t failed = 0;
         std::uint32_t acknowledged_failures = 0;
@@ -100,7 +103,7 @@
 
     void started(const backend_profile& backend, const run_ref& run, time_point now, bool is_late);
     void ended(const backend_profile& backend, const order_backend::event& event);
-    void noted(const order_backend::event& event);
+    void noted(const backend_profile& backend, const order_backend::event& event);
     void check_bounds(const backend_profile& backend, const job_record& job, const std::string& name,
                       time_point now);
     bool is_calm(time_point now) const;
--- a/tests/promise_check_test.cpp
+++ b/tests/promise_check_test.cpp
@@ -87,6 +87,28 @@
     expect_broken("one run");
 }
 
+TEST_F(promises, a_run_after_a_success_that_is_acknowledged_later_is_seen) {
+    plan_.is_durable = true;
+    check_.submitted("job", plan_, 2);
+    start(0, 1, backend_);
+    end(0, 1, backend_, run_state::done);
+    start(0, 2, other_);
+    EXPECT_TRUE(check_.violations().empty());
+    log_job_end(0, 1, run_state::done);
+    expect_broken("one run");
+}
+
+TEST_F(promises, a_success_after_the_last_start_breaks_none) {
+    plan_.is_durable = true;
+    check_.submitted("job", plan_, 2);
+    start(0, 1, backend_);
+    end(0, 1, backend_, run_state::lapsed);
+    start(0, 2, backend_);
+    end(0, 2, backend_, run_state::done);
+    log_job_end(0, 2, run_state::done);
+    EXPECT_TRUE(check_.violations().empty());
+}
+
 TEST_F(promises, a_run_beside_one_of_a_replaced_backend_server_is_seen) {
     backend_profile replacement = backend_;
     replacement.id = "b-2";
