Keep unrecorded ends when a backend server signs off

The agent forgot the end with the backend server, since owners usually have the report by then. The owner's successor found no run and placed the task again, and the same server, taken up again, listed the end.

An agent gives up a backend server that has signed off only when no run is left and all ends are recorded.

keeps_unrecorded_ends_of_a_backend_server_that_signs_off failed before.

--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -146,9 +146,9 @@
 }
 
 // A backend server that has signed off may still work on its runs, and its message may be late. It is given
-// up when it has no run left.
+// up when it has no run left and the owners have recorded all ends.
 void agent_core::forget_ended_backend(time_point now) {
-    if (has_signed_off_ && runs_.active_count() == 0)
+    if (has_signed_off_ && runs_.size() == 0)
         detach_backend(now);
 }
 
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -281,6 +281,24 @@
     EXPECT_TRUE(was_reported(run_of(0), run_state::done));
 }
 
+// Guards against a second run of a task that has ended: its backend server signs off while its owner is away,
+// and the successor of the owner must hear of the end.
+TEST_F(agent_core_test, keeps_unrecorded_ends_of_a_backend_server_that_signs_off) {
+    connect_and_synchronize();
+    send_starts(1, true);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {{1, run_of(0), run_state::done, {}}});
+    agent_.left("backend", now_);
+    messages_.clear();
+    const incarnation successor{"entry", 9};
+    agent_.received(entry_link, owner_succession{session_, successor}, now_);
+    collect();
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+    agent_.received(entry_link, recorded_run_ends{1000, {1}}, now_);
+    advance_time(milliseconds{20});
+    EXPECT_EQ(agent_.backend_id(), "");
+}
+
 // Guards against a second run of a task beside one at a backend server that was replaced while the agent
 // restarted, and that goes on until its lease expires.
 TEST_F(agent_core_test, sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire) {
