Take a control frame that nests too deeply as malformed

A control frame with more than 1,000 levels ended the process that received it: the JSON library throws "Exceeded stackLimit in readValue()", which nobody caught. Only peers of the product's own deployment send such frames; the platform's daemons use none. The exception is a decode error now, so the connection is closed.

Evidence: control_codec.frames_beyond_the_limits_are_errors failed with this exception on the previous code and passes now. It and the task codec's test also cover the limits of MessagePack frames.

--- a/protocol/control_codec.cpp
+++ b/protocol/control_codec.cpp
@@ -84,10 +84,14 @@
     std::variant<control_message, decode_error> decode(std::string_view bytes) {
         received_.reset();
         error_.clear();
-        const std::string response = connector_.handle(std::string{bytes});
-        if (received_)
-            return std::move(*received_);
-        return decode_error{error_.empty() ? "not a known JSON-RPC notification: " + response : error_};
+        try {
+            const std::string response = connector_.handle(std::string{bytes});
+            if (received_)
+                return std::move(*received_);
+            return decode_error{error_.empty() ? "not a known JSON-RPC notification: " + response : error_};
+        } catch (const Json::Exception& error) {
+            return decode_error{std::string{"malformed JSON: "} + error.what()};
+        }
     }
 
 private:
--- a/tests/control_codec_test.cpp
+++ b/tests/control_codec_test.cpp
@@ -54,5 +54,17 @@
     EXPECT_TRUE(is_error(frame_kind::periodic, "\xc1"));
 }
 
+// Guards against the end of a process whose peer sends a frame that nests deeply or announces too many
+// elements.
+TEST(control_codec, frames_beyond_the_limits_are_errors) {
+    control_decoder decoder;
+    for (const std::string& frame : {std::string("\xdd\xff\xff\xff\xff"), std::string(500'000, '\x91')})
+        EXPECT_TRUE(std::holds_alternative<decode_error>(decoder.decode(frame_kind::periodic, frame)));
+    const std::string deep = std::string(500'000, '[') + std::string(500'000, ']');
+    const std::string call = R"({"jsonrpc":"2.0","method":"view_ping","params":{"message":)";
+    for (const std::string& frame : {deep, std::string(500'000, '['), call + deep + "}}"})
+        EXPECT_TRUE(std::holds_alternative<decode_error>(decoder.decode(frame_kind::rpc, frame)));
+}
+
 } // namespace
 } // namespace persimmonstile
--- a/tests/task_codec_test.cpp
+++ b/tests/task_codec_test.cpp
@@ -27,6 +27,8 @@
     EXPECT_TRUE(std::holds_alternative<decode_error>(decode_task_message("")));
     EXPECT_TRUE(std::holds_alternative<decode_error>(decode_task_message("\xc1\xff")));
     EXPECT_TRUE(std::holds_alternative<decode_error>(decode_task_message("\x92\x63\x90")));
+    // Announces more elements than there are bytes.
+    EXPECT_TRUE(std::holds_alternative<decode_error>(decode_task_message("\xdd\xff\xff\xff\xff")));
     const std::string whole = encode_task_message(revoke{1, 2, "job", {{1, 1}, {2, 1}, {3, 2}}});
     EXPECT_TRUE(std::holds_alternative<decode_error>(
         decode_task_message(std::string_view{whole}.substr(0, whole.size() - 1))));
