--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -345,22 +345,24 @@
     }
     if (!is_synchronized_ && hold.order.fencing_token == fencing_token_)
         complete_synchronization(now);
+    // A full list may lack further ends.
+    if (reply.ended.size() >= max_listed_ends)
+        return;
     resolve_unanswered_starts(hold, listed, now);
-    if (reply.ended.size() < max_listed_ends)
-        end_missing_runs(hold, listed, now);
+    end_missing_runs(hold, listed, now);
 }
 
 void agent_core::process_listed_end(const listed_end& end, time_point now) {
     end_acknowledger_.listed(end.number);
     if (end_acknowledger_.is_recorded(end.number))
         return;
+    run_record* record = runs_.find(end.run);
     // The lease of this run expired and the agent reported it as ended, so the listed end is acknowledged
-    // without a further report.
-    if (abandoned_runs_.contains(end.run)) {
+    // without a further report. A run with the same number that has been started since is reported.
+    if (record == nullptr && abandoned_runs_.contains(end.run)) {
         end_acknowledger_.mark_recorded(end.number);
         return;
     }
-    run_record* record = runs_.find(end.run);
     if (record == nullptr) {
         // The run was unknown to this agent, so its real start times are not known either.
         run_record found;
@@ -491,12 +493,28 @@
                     {{"backend", backend_.id},
                      {"token", static_cast<std::int64_t>(fencing_token_)},
                      {"runs", static_cast<std::int64_t>(runs_.size())}});
-    if (!are_inventories_published_)
+    if (!are_inventories_published_ && may_publish_inventories(now))
         publish_inventories(now);
 }
 
+// No lease is renewed without a backend server or at a silent one, so no run of an earlier agent process can
+// outlast the leases that were requested so far.
+bool agent_core::may_publish_inventories(time_point now) const {
+    const bool is_renewing = !backend_.id.empty() && !is_unresponsive_;
+    return is_synchronized_ || (!is_renewing && now >= all_leases_expired_at_);
+}
+
+// A backend server that has started since this process may have replaced one that goes on until its lease
+// expires. Entries that were connected before notice this, but a successor of theirs does not.
+bool agent_core::may_publish_durable_inventories(time_point now) const {
+    const milliseconds uptime{backend_clock_.at(now)};
+    return are_inventories_published_ &&
+           (!is_synchronized_ || uptime >= limits_.max_lease_lifetime() || now >= former_leases_expired_at_);
+}
+
 void agent_core::publish_inventories(time_point now) {
     are_inventories_published_ = true;
+    are_durable_inventories_published_ = may_publish_durable_inventories(now);
     for (const auto& [link, state] : links_)
         send_inventories(link, now);
 }
@@ -509,6 +527,8 @@
     // Runs without a known owner are sent first, or their owner would treat them as lost.
     send_inventory(link, {}, now);
     send_inventory(link, state.process, now);
+    if (!are_durable_inventories_published_)
+        return;
     if (!state.session.name.empty())
         send_inventory(link, state.session, now);
     for (const auto& [former, successor] : deposed_owners_) {
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -238,6 +238,108 @@
     EXPECT_EQ(last_report(run_of(0))->state, run_state::running);
 }
 
+// Guards against the loss of an end: a caller sends its job again, and a run gets the number of one that was
+// given up with a former life of the backend server.
+TEST_F(agent_core_test, reports_the_end_of_a_run_with_the_number_of_a_run_given_up) {
+    constexpr std::uint64_t next_life = 1001;
+    connect_and_synchronize();
+    send_starts(1, false);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {}, next_life);
+    for (int i = 0; i < 20 && !was_reported(run_of(0), run_state::lapsed); ++i) {
+        send_pong();
+        advance_time(milliseconds{100});
+    }
+    ASSERT_TRUE(was_reported(run_of(0), run_state::lapsed));
+    announce(profile(next_life));
+    send_starts(1, false);
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    answer(*start, backend_verdict::accepted, {}, {}, next_life);
+    advance_time(milliseconds{1});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {{1, run_of(0), run_state::done, {}}},
+           next_life);
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
+// Guards against a second start of a task whose first run has ended: a full list may lack its end.
+TEST_F(agent_core_test, does_not_take_a_full_list_of_ends_for_proof_that_a_start_is_void) {
+    connect_and_synchronize();
+    send_starts(1, false);
+    const backend_order regular = *take_order<hold_order>();
+    answer(*take_order<start_order>(), backend_verdict::no_answer);
+    std::vector<listed_end> ends;
+    for (std::uint64_t number = 1; number <= 500; ++number)
+        ends.push_back({number, run_of(static_cast<task_index>(number), "other"), run_state::done, {}});
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, ends);
+    EXPECT_FALSE(take_order<start_order>());
+    answer(regular, backend_verdict::fenced);
+    const auto next = take_order<hold_order>();
+    ASSERT_TRUE(next);
+    answer(*next, backend_verdict::accepted, {}, {{501, run_of(0), run_state::done, {}}});
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
+// Guards against a second run of a task that has ended: its backend server signs off while its owner is away,
+// and the successor of the owner must hear of the end.
+TEST_F(agent_core_test, keeps_unrecorded_ends_of_a_backend_server_that_signs_off) {
+    connect_and_synchronize();
+    send_starts(1, true);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, {{1, run_of(0), run_state::done, {}}});
+    agent_.left("backend", now_);
+    messages_.clear();
+    const incarnation successor{"entry", 9};
+    agent_.received(entry_link, owner_succession{session_, successor}, now_);
+    collect();
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+    agent_.received(entry_link, recorded_run_ends{1000, {1}}, now_);
+    advance_time(milliseconds{20});
+    EXPECT_EQ(agent_.backend_id(), "");
+}
+
+// Guards against a second run of a task beside one at a backend server that was replaced while the agent
+// restarted, and that goes on until its lease expires.
+TEST_F(agent_core_test, sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire) {
+    const auto has_sent_inventory = [&](const incarnation& owner) {
+        return std::any_of(messages_.begin(), messages_.end(), [&](const work_message& message) {
+            const auto* inventory = std::get_if<run_inventory>(&message);
+            return inventory != nullptr && inventory->owner == owner;
+        });
+    };
+    const incarnation former_session{"entry", 3};
+    backend_clock_ms_ = 100;
+    connect();
+    agent_.announced({profile(), 1, backend_clock_ms_}, now_);
+    collect();
+    answer(*take_order<hold_order>(), backend_verdict::accepted);
+    advance_time(agent_limits{}.max_lease - backend_clock_ms_ * milliseconds{1});
+    agent_.received(entry_link, owner_succession{former_session, session_}, now_);
+    collect();
+    EXPECT_FALSE(has_sent_inventory(session_));
+    EXPECT_FALSE(has_sent_inventory(former_session));
+    EXPECT_TRUE(has_sent_inventory(process_));
+    advance_time(milliseconds{100});
+    EXPECT_TRUE(has_sent_inventory(session_));
+    EXPECT_TRUE(has_sent_inventory(former_session));
+}
+
+// Guards against a crash: a run was withdrawn and requested again while found runs held all starts back.
+TEST_F(agent_core_test, refuses_a_run_once_that_was_queued_twice) {
+    connect();
+    announce(profile());
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, "found"), {}, 0}});
+    send_starts(1, false);
+    agent_.received(entry_link, run_stop_request{process_, {run_of(0)}}, now_);
+    send_starts(1, false);
+    EXPECT_EQ(agent_.queued_runs(), 1U);
+    advance_time(agent_limits{}.queue_timeout);
+    ASSERT_TRUE(last_report(run_of(0)));
+    EXPECT_EQ(last_report(run_of(0))->reason, run_refusal::no_room);
+    EXPECT_EQ(agent_.queued_runs(), 0U);
+}
+
 // Guards against a run that is found again, and blocks all starts, because two lists were in flight when its
 // end was listed and the older one arrives last.
 class overtaken_list_test : public agent_core_test {
