Hold the inventories of durable jobs back when the server is lost too

A restarted agent that waits for the leases of its former process sent the inventories early if the young backend server it waited beside was lost: the condition for an agent without any server took over, though losing the second one shows nothing about the first.

The wait ends only with the leases of the former process or with a server that was there before them. The extended test failed before.

--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -508,8 +508,8 @@
 // expires. Entries that were connected before notice this, but a successor of theirs does not.
 bool agent_core::may_publish_durable_inventories(time_point now) const {
     const milliseconds uptime{backend_clock_.at(now)};
-    return are_inventories_published_ &&
-           (!is_synchronized_ || uptime >= limits_.max_lease_lifetime() || now >= former_leases_expired_at_);
+    const bool is_old = is_synchronized_ && uptime >= limits_.max_lease_lifetime();
+    return are_inventories_published_ && (is_old || now >= former_leases_expired_at_);
 }
 
 void agent_core::publish_inventories(time_point now) {
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -320,7 +320,11 @@
     EXPECT_FALSE(has_sent_inventory(session_));
     EXPECT_FALSE(has_sent_inventory(former_session));
     EXPECT_TRUE(has_sent_inventory(process_));
-    advance_time(milliseconds{100});
+    // Losing the new one shows nothing about the former one either.
+    agent_.left("backend", now_);
+    advance_time(milliseconds{1});
+    EXPECT_FALSE(has_sent_inventory(session_));
+    advance_time(milliseconds{200});
     EXPECT_TRUE(has_sent_inventory(session_));
     EXPECT_TRUE(has_sent_inventory(former_session));
 }
