Don't count statuses that this version does not know

A status in a report of a peer may be any number up to 255, because enumerations are read without a check, so that neighbouring versions understand each other. The metrics used it as an index into an array, so an unknown one wrote beyond it.

Values beyond the enumeration are not counted. Only the product's own deployment uses these counters; the platform's daemons count by text.

--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -39,6 +39,15 @@
     }
 }
 
+// Guards against memory that is overwritten when a peer reports a status that this version does not know.
+TEST(metrics, values_beyond_the_enumeration_are_not_counted) {
+    daemon_metrics metrics;
+    const std::string before = metrics.prometheus_text();
+    metrics.tasks.add(static_cast<task_status>(8));
+    metrics.refusals.add(static_cast<refusal>(refusal_count));
+    EXPECT_EQ(metrics.prometheus_text(), before);
+}
+
 // Guards against labels that shift when an alternative is added in the middle of a variant.
 TEST(metrics, labels_messages_by_their_type) {
     EXPECT_EQ(kind_of(task_message{dispatch{}}), message_kind::dispatch);
--- a/transport/counter_family.h
+++ b/transport/counter_family.h
@@ -16,7 +16,10 @@
         : metric_family{std::move(name), std::move(help)}
         , label_name_{std::move(label_name)} {}
 
+    // A value beyond the enumeration, which a peer of another version may report, is not counted.
     void add(Label label, std::uint64_t amount = 1) {
+        if (static_cast<std::size_t>(label) >= LabelCount)
+            return;
         shards_[metric_shard()].values[static_cast<std::size_t>(label)].fetch_add(amount,
                                                                                   std::memory_order_relaxed);
     }
