Keep the record of a leaving entry that has adopted jobs

Cause: an entry that shuts down left as soon as its ledger was empty and removed its record, although the write of an adoption, or the list of the adopted jobs, was still on its way. The adoption record then named a successor without a record. Entry records are where the other entries look for sessions to adopt, so nothing led to these jobs any more.

- A session remembers each adoption that may be stored, until its removal is confirmed.
While there is one, it marks its record as leaving instead of removing it.
Only this session writes adoptions that name it, and the mark changes the revision that these writes depend on, so none can take effect unnoticed later.
- An entry that shuts down begins no further adoption.
- A successor without a record and without a successor is adopted like an expired session, with all that it had adopted.
- An entry has left when the store has answered.
Before, the second tick of a shutdown ended it while the write was in flight, and its jobs waited for its lease.

Read for the same cause: claims of a session (the record exists, so it is found by its lease), deposed sessions (their writes fail), removals of adoptions (only what the own view contains, in order).

--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -273,6 +273,7 @@
 
 void entry_core::begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point) {
     is_shutting_down_ = true;
+    session_manager_.stop_adopting();
     refuse_at_ = refuse_at;
     hand_over_at_ = hand_over_at;
     record_decision("shutdown begins", {}, {{"jobs", static_cast<std::int64_t>(ledger_.jobs().size())}});
--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -93,12 +93,19 @@
             if (!is_waiting_for(purpose::leave)) {
                 store_write write;
                 write.conditions.push_back({entry_key(self_.session.name), entry_revision_});
-                if (has_no_open_jobs_) {
-                    write.removals.push_back(entry_key(self_.session.name));
-                } else {
+                // Without this record no entry would look for the jobs of the adopted sessions.
+                const bool is_record_needed = !has_no_open_jobs_ || !stored_adoptions_.empty();
+                record_decision("session ends",
+                                {{"session", session_text(session_)},
+                                 {"has_open_jobs", has_no_open_jobs_ ? 0 : 1},
+                                 {"adoptions", static_cast<std::int64_t>(stored_adoptions_.size())},
+                                 {"keeps_record", is_record_needed ? 1 : 0}});
+                if (is_record_needed) {
                     entry_record leaving = self_;
                     leaving.is_leaving = true;
                     write.puts.push_back({entry_key(self_.session.name), leaving});
+                } else {
+                    write.removals.push_back(entry_key(self_.session.name));
                 }
                 write.removals.push_back(liveness_key(session_));
                 send(purpose::leave, std::move(write), timeout(), now);
@@ -208,8 +215,10 @@
     record_decision("session begins", {{"session", session_text(session_)},
                                        {"revision", static_cast<std::int64_t>(revision)},
                                        {"adopts", static_cast<std::int64_t>(candidate_adoptions_.size())}});
-    for (const session_adoption& record : candidate_adoptions_)
+    for (const session_adoption& record : candidate_adoptions_) {
         pending_adoptions_[record.former].result.record = record;
+        stored_adoptions_.insert(record.former);
+    }
     next_renewal_ = now + renewal_interval;
 }
 
@@ -280,7 +289,10 @@
             continue;
         pending_adoptions_[former].result.record = state.record;
         pending_adoptions_[former].result.may_be_running = true;
+        stored_adoptions_.insert(former);
     }
+    if (!is_adopting_)
+        return;
     adopt_inherited_sessions(now);
     // Number of live entries whose names sort before this entry's name.
     std::uint64_t position = 0;
@@ -288,23 +300,48 @@
         if (members_.is_alive(state.record.session) && name < session_.name)
             ++position;
     }
+    const milliseconds delay = adoption_stagger * static_cast<int>(position);
     for (const auto& [name, state] : members_.entries()) {
         const incarnation& session = state.record.session;
-        if (session == session_ || pending_adoptions_.contains(session) ||
-            connected_sessions_.contains(session))
+        if (!may_adopt(session))
             continue;
         const std::optional<time_point> missing = members_.missing_since(session);
-        if (!missing)
-            continue;
-        const milliseconds delay = adoption_stagger * static_cast<int>(position);
-        const bool is_due = state.record.is_leaving
-                                ? now >= *missing + delay
-                                : now >= std::max(*missing + missing_key_grace,
-                                                  store_available_since_ + liveness_return_grace) +
-                                             delay;
+        const bool is_due =
+            state.record.is_leaving ? missing && now >= *missing + delay : is_expired(session, now, delay);
         if (is_due)
             adopt_session(session, !state.record.is_leaving, now);
     }
+    adopt_lost_successors(now, delay);
+}
+
+// Adopts successors that have neither an entry record nor a successor of their own. Nothing else leads to the
+// jobs that they had adopted.
+void session_manager::adopt_lost_successors(time_point now, milliseconds delay) {
+    std::set<incarnation> lost;
+    for (const auto& [former, state] : members_.adoptions()) {
+        const incarnation& successor = state.record.successor;
+        const member_directory::entry_state* entry = members_.find_entry(successor.name);
+        const bool has_record = entry != nullptr && entry->record.session == successor;
+        if (!has_record && !members_.adoptions().contains(successor) && may_adopt(successor) &&
+            is_expired(successor, now, delay))
+            lost.insert(successor);
+    }
+    for (const incarnation& successor : lost)
+        adopt_session(successor, true, now);
+}
+
+bool session_manager::may_adopt(const incarnation& session) const {
+    return session != session_ && !pending_adoptions_.contains(session) &&
+           !connected_sessions_.contains(session);
+}
+
+// Whether the session has had no liveness key for so long that its process has ended. delay is added to this
+// time.
+bool session_manager::is_expired(const incarnation& session, time_point now, milliseconds delay) const {
+    const std::optional<time_point> missing = members_.missing_since(session);
+    return missing &&
+           now >=
+               std::max(*missing + missing_key_grace, store_available_since_ + liveness_return_grace) + delay;
 }
 
 // Adopts sessions whose successor was itself adopted by this session. If both adoptions were written at the
@@ -325,6 +362,7 @@
         write.conditions.push_back({entry_key(session_.name), entry_revision_});
         write.conditions.push_back({adopted_key(former), state.revision});
         write.puts.push_back({adopted_key(former), pending.result.record});
+        stored_adoptions_.insert(former);
         send(purpose::adopt_session, std::move(write), timeout(), now, former);
     }
 }
@@ -335,19 +373,23 @@
 }
 
 void session_manager::adopt_session(const incarnation& former, bool may_be_running, time_point now) {
+    // The record of a lost successor is gone, or another session of the same name has replaced it.
     const member_directory::entry_state* entry = members_.find_entry(former.name);
-    if (entry == nullptr || entry->record.session != former)
-        return;
-    record_decision("adopting the jobs of a session that is gone", {{"former", session_text(former)}}, true);
+    const bool has_record = entry != nullptr && entry->record.session == former;
+    record_decision("adopting the jobs of a session that is gone",
+                    {{"former", session_text(former)}, {"has_record", has_record ? 1 : 0}}, true);
     pending_adoption& pending = pending_adoptions_[former];
     pending.result.record = {former, session_, 1};
     pending.result.may_be_running = may_be_running;
     store_write write;
     write.conditions.push_back({entry_key(session_.name), entry_revision_});
-    write.conditions.push_back({entry_key(former.name), entry->revision});
+    if (former.name != session_.name)
+        write.conditions.push_back({entry_key(former.name), entry != nullptr ? entry->revision : 0});
     write.conditions.push_back({adopted_key(former), 0});
     write.puts.push_back({adopted_key(former), pending.result.record});
-    write.removals.push_back(entry_key(former.name));
+    stored_adoptions_.insert(former);
+    if (has_record)
+        write.removals.push_back(entry_key(former.name));
     write.removals.push_back(liveness_key(former));
     for (const auto& [session, state] : members_.adoptions()) {
         if (state.record.successor != former)
@@ -355,6 +397,7 @@
         write.conditions.push_back({adopted_key(session), state.revision});
         write.puts.push_back(
             {adopted_key(session), session_adoption{session, session_, state.record.succession_count + 1}});
+        stored_adoptions_.insert(session);
     }
     send(purpose::adopt_session, std::move(write), timeout(), now, former);
 }
@@ -439,7 +482,7 @@
     write.conditions.push_back({entry_key(session_.name), entry_revision_});
     write.conditions.push_back({adopted_key(former), found->second.revision});
     write.removals.push_back(adopted_key(former));
-    send(purpose::remove_adoption, std::move(write), timeout(), now);
+    send(purpose::remove_adoption, std::move(write), timeout(), now, former);
 }
 
 // --- agents ---
@@ -531,6 +574,8 @@
         }
         return;
     case purpose::remove_adoption:
+        if (std::holds_alternative<write_applied>(reply))
+            stored_adoptions_.erase(sent.former);
         return;
     case purpose::leave:
         if (!std::holds_alternative<store_failure>(reply))
@@ -574,11 +619,14 @@
     pending_adoptions_.clear();
     completed_adoptions_.clear();
     loaded_sessions_.clear();
+    stored_adoptions_.clear();
     // Replies to calls of the old session are ignored from now on.
     calls_in_flight_.clear();
 }
 
 void session_manager::leave(bool has_no_open_jobs, time_point) {
+    if (phase_ == phase::leaving || phase_ == phase::left)
+        return;
     if (phase_ != phase::active) {
         phase_ = phase::left;
         return;
--- a/coordination/session_manager.h
+++ b/coordination/session_manager.h
@@ -47,8 +47,12 @@
     // Must be called if a write failed because this session is deposed. Also called if the watch shows that
     // the entry's record names another session or is missing. Begins a new session.
     void deposed(time_point now);
-    // Ends the session. If there are no open jobs, the entry's record is removed. Otherwise the
-    // record is marked as leaving, so that the other entries adopt the jobs without the usual grace periods.
+    // Adopts no further sessions. Used during a shutdown, because the adopted jobs would have to be handed
+    // over again at once.
+    void stop_adopting() { is_adopting_ = false; }
+    // Ends the session. If there are no open jobs and no adoption by this session may be stored, the entry's
+    // record is removed. Otherwise it is marked as leaving, so that the other entries adopt the jobs without
+    // the usual grace periods.
     void leave(bool has_no_open_jobs, time_point now);
     bool has_left() const { return phase_ == phase::left; }
 
@@ -119,6 +123,9 @@
     void write_liveness_key(time_point now);
     void adopt_expired_sessions(time_point now);
     void adopt_inherited_sessions(time_point now);
+    void adopt_lost_successors(time_point now, milliseconds delay);
+    bool may_adopt(const incarnation& session) const;
+    bool is_expired(const incarnation& session, time_point now, milliseconds delay) const;
     bool is_successor_of_another(const incarnation& session) const;
     void adopt_session(const incarnation& former, bool may_be_running, time_point now);
     void process_adoption_reply(const incarnation& former, const store_reply& reply, time_point now);
@@ -158,6 +165,9 @@
     std::vector<agent_record> agents_in_write_;
     // Adopted sessions whose jobs have been read.
     std::set<incarnation> loaded_sessions_;
+    // Sessions for which the store may have a record that names this session as successor. Includes adoptions
+    // whose write got no answer, because it may still take effect.
+    std::set<incarnation> stored_adoptions_;
 
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, sent_call> calls_in_flight_;
@@ -169,7 +179,7 @@
     time_point store_available_since_{};
     std::optional<time_point> store_failing_since_;
     time_point backoff_until_{};
-    bool is_leave_wanted_ = false;
+    bool is_adopting_ = true;
     bool has_no_open_jobs_ = false;
 };
 
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -867,6 +867,25 @@
     EXPECT_TRUE(entry_.has_left());
 }
 
+// Guards against an entry that adopts jobs while it shuts down, and leaves before it has read them.
+TEST_F(entry_core_test, adopts_nothing_while_it_shuts_down) {
+    const incarnation other{"other", 9};
+    entry_record record;
+    record.session = other;
+    record.is_leaving = true;
+    store_.put(entry_key("other"), record);
+    store_.put(liveness_key(other), std::string{});
+    prepare();
+    entry_.begin_shutdown(now_ + milliseconds{2000}, now_ + milliseconds{3000}, now_);
+    store_.remove(liveness_key(other));
+    for (int i = 0; i < 20; ++i) {
+        serve_store();
+        advance_time(milliseconds{100});
+    }
+    EXPECT_FALSE(store_.items().contains(adopted_key(other)));
+    EXPECT_TRUE(store_.items().contains(entry_key("other")));
+}
+
 // Guards against a session that continues to act after another entry has adopted its jobs.
 TEST_F(entry_core_test, drops_durable_jobs_when_its_session_is_deposed) {
     prepare();
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -3,6 +3,7 @@
 #include "standins/kv_model.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -184,6 +185,130 @@
     EXPECT_EQ(session_manager_.session().number, 2U);
 }
 
+// The session of another entry has a durable job and expires. The write with which this entry adopts it takes
+// effect, but its answer is still on its way when this entry leaves.
+class leaving_adopter_test : public session_manager_test {
+protected:
+    const incarnation former_{"other", 9};
+    std::vector<session_manager::call> adoptions_;
+
+    static bool is_adoption(const store_call& call) {
+        const auto* write = std::get_if<store_write>(&call);
+        return write != nullptr && std::any_of(write->puts.begin(), write->puts.end(), [](const auto& put) {
+                   return put.key.starts_with(adopted_prefix);
+               });
+    }
+
+    // Answers all calls but adoptions, which are kept.
+    void answer_all_but_adoptions() {
+        for (session_manager::call& call : session_manager_.take_calls(now_))
+            (is_adoption(call.what) ? adoptions_ : pending_calls_).push_back(std::move(call));
+        for (const session_manager::call& call : std::exchange(pending_calls_, {})) {
+            if (const auto reply = store_.call(call.what, now_))
+                session_manager_.replied(call.id, *reply, now_);
+            else
+                pending_calls_.push_back(call);
+        }
+        now_ += milliseconds{50};
+    }
+
+    void begin_adoption() {
+        add_other(former_);
+        store_.put(open_job_key(former_, "a"), open_job{});
+        answer_calls();
+        advance_time(milliseconds{3000});
+        store_.remove(liveness_key(former_));
+        for (int i = 0; i < 100 && adoptions_.empty(); ++i)
+            answer_all_but_adoptions();
+        ASSERT_EQ(adoptions_.size(), 1U);
+    }
+
+    void leave() {
+        session_manager_.leave(true, now_);
+        for (int i = 0; i < 10 && !session_manager_.has_left(); ++i) {
+            answer_all_but_adoptions();
+            session_manager_.leave(true, now_);
+        }
+        ASSERT_TRUE(session_manager_.has_left());
+    }
+
+    void expect_marked_as_leaving() const {
+        ASSERT_TRUE(store_.items().contains(entry_key("entry")));
+        const auto* record = std::get_if<entry_record>(&store_.items().at(entry_key("entry")).value);
+        ASSERT_NE(record, nullptr);
+        EXPECT_TRUE(record->is_leaving);
+    }
+};
+
+// Guards against durable jobs that no entry finds any more, because the session that adopted them has removed
+// its record.
+TEST_F(leaving_adopter_test, keeps_its_record_while_an_adoption_is_unanswered) {
+    begin_adoption();
+    ASSERT_TRUE(store_.call(adoptions_[0].what, now_));
+    leave();
+    expect_marked_as_leaving();
+}
+
+// Guards against the same after an adoption whose answer was lost, and which may still take effect.
+TEST_F(leaving_adopter_test, keeps_its_record_after_an_adoption_got_no_answer) {
+    begin_adoption();
+    session_manager_.replied(adoptions_[0].id, store_failure{"no answer", true}, now_);
+    leave();
+    expect_marked_as_leaving();
+}
+
+// Guards against the same while the list of the adopted jobs is still on its way.
+TEST_F(leaving_adopter_test, keeps_its_record_while_the_adopted_jobs_are_read) {
+    begin_adoption();
+    session_manager_.replied(adoptions_[0].id, *store_.call(adoptions_[0].what, now_), now_);
+    leave();
+    expect_marked_as_leaving();
+}
+
+// Guards against a record of an idle entry that stays behind, so that others adopt it for nothing.
+TEST_F(leaving_adopter_test, removes_its_record_after_all_adoptions_have_ended) {
+    begin_adoption();
+    session_manager_.replied(adoptions_[0].id, *store_.call(adoptions_[0].what, now_), now_);
+    answer_calls();
+    ASSERT_EQ(session_manager_.take_adopted().size(), 1U);
+    session_manager_.end_adoption(former_, now_);
+    answer_calls();
+    leave();
+    EXPECT_FALSE(store_.items().contains(entry_key("entry")));
+}
+
+// Guards against an entry that takes its exit for done before the store has its record as leaving, so that
+// the jobs wait for its lease to expire.
+TEST_F(session_manager_test, has_not_left_before_the_store_answers) {
+    answer_calls();
+    session_manager_.leave(false, now_);
+    const std::vector<session_manager::call> calls = session_manager_.take_calls(now_);
+    session_manager_.leave(false, now_);
+    EXPECT_FALSE(session_manager_.has_left());
+    for (const session_manager::call& call : calls)
+        session_manager_.replied(call.id, *store_.call(call.what, now_), now_);
+    EXPECT_TRUE(session_manager_.has_left());
+}
+
+// Guards against durable jobs without an owner, because the successor of their session left no record.
+TEST_F(session_manager_test, adopts_jobs_whose_successor_left_no_record) {
+    const incarnation former{"first", 8};
+    const incarnation lost{"middle", 9};
+    store_.put(open_job_key(former, "a"), open_job{});
+    store_.put(open_job_key(lost, "b"), open_job{});
+    store_.put(adopted_key(former), session_adoption{former, lost, 1});
+    answer_calls();
+    advance_time(milliseconds{5000});
+    std::map<incarnation, session_manager::adopted_jobs> adopted;
+    for (session_manager::adopted_jobs& each : session_manager_.take_adopted())
+        adopted[each.record.former] = std::move(each);
+    ASSERT_EQ(adopted.size(), 2U);
+    EXPECT_EQ(adopted[lost].jobs.size(), 1U);
+    EXPECT_EQ(adopted[former].jobs.size(), 1U);
+    EXPECT_GT(adopted[former].record.succession_count, adopted[lost].record.succession_count);
+    EXPECT_EQ(session_manager_.members().owner_of(former), session_manager_.session());
+}
+
 // An entry adopts a session ("first") at the moment when this entry adopts that entry ("middle").
 class chained_adoption_test : public session_manager_test {
 protected:
