Give a successor the progress of all occurrences of a repeated job

Cause: job_ledger applied the stored progress when a job was added, before any occurrence of a repeated job had begun. No task was found, so done tasks, failures and checkpoints were all dropped, and the next tick began the past occurrences from scratch.

Now progress begins the occurrence that it names. Read for the same cause, and mended with it:

- A report of a run whose occurrence the successor has not begun yet was ignored and its end still acknowledged, so the task would run again.
The report begins the occurrence now: it was due for the owner that started the run, even if this entry's clock is behind.
- Occurrences that were finished before the adoption still counted as open, so a job would never have ended.
A job that is adopted with all tasks done is ended.
- A job with progress was shown as `queued` and counted as pending.

`adopted a job` logs the progress and the occurrences that are left.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -162,7 +162,7 @@
                 orphans_.add(agent.number, report, now);
             continue;
         }
-        const ledger_task* task = job_ledger::find_task(*job, report.run.task);
+        const ledger_task* task = job_ledger::find_task_of_run(*job, report.run);
         if (task != nullptr && !is_final(report.state) &&
             (task->phase == task_phase::done || report.run.run < task->run)) {
             (job->is_durable() ? durable_stop : non_durable_stop).runs.push_back(report.run);
@@ -230,7 +230,7 @@
             orphans_.add(agent.number, report, now);
         return;
     }
-    const ledger_task* before = job_ledger::find_task(*job, report.run.task);
+    const ledger_task* before = job_ledger::find_task_of_run(*job, report.run);
     const ledger_task task_before = before != nullptr ? *before : ledger_task{};
     const report_effect effect = job_ledger::apply_report(*job, report, agent.number, now);
     if (!is_final(report.state) && effect != report_effect::nothing)
@@ -301,11 +301,9 @@
 }
 
 void entry_core::process_finished_task(ledger_job& job, const task_ref& task, time_point now) {
-    ledger_occurrence& occurrence = job.occurrences[task.occurrence];
+    const ledger_occurrence& occurrence = job.occurrences[task.occurrence];
     is_plan_needed_ = true;
-    const bool is_occurrence_done = std::all_of(occurrence.remaining.begin(), occurrence.remaining.end(),
-                                                [](std::uint32_t remaining) { return remaining == 0; });
-    if (!is_occurrence_done)
+    if (!occurrence.is_done())
         return;
     if (--job.occurrences_left == 0 && job.phase == job_phase::open)
         end_job(job, job_state::completed, now);
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -97,7 +97,13 @@
             const milliseconds age{
                 std::clamp<std::int64_t>(unix_time_ms(wall_) - record->accepted_ms, 0, 600000)};
             job.accepted = now - age;
-            record_decision("adopted a job", id, {{"former", former.name}, {"age_ms", age.count()}});
+            record_decision("adopted a job", id,
+                            {{"former", former.name},
+                             {"age_ms", age.count()},
+                             {"progress", static_cast<std::int64_t>(record->progress.size())},
+                             {"occurrences_left", job.occurrences_left}});
+            if (job.occurrences_left == 0)
+                end_job(job, job_state::completed, now);
         }
         for (const auto& [number, agent] : agents_.all()) {
             if (agent.link != 0)
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -15,16 +15,14 @@
     added.last_predecessor_run = last_predecessor_run;
     added.accepted = now;
     added.occurrences_left = added.record->plan.occurrence_count();
-    if (added.record->plan.repeat_count == 0) {
-        start_occurrence(added, 0);
-        added.next_occurrence = 1;
-    }
+    if (added.record->plan.repeat_count == 0)
+        start_next_occurrence(added);
     apply_progress(added);
     return added;
 }
 
-void job_ledger::start_occurrence(ledger_job& job, std::uint32_t number) {
-    ledger_occurrence& occurrence = job.occurrences[number];
+void job_ledger::start_next_occurrence(ledger_job& job) {
+    ledger_occurrence& occurrence = job.occurrences[job.next_occurrence++];
     for (const job_step& step : job.record->plan.steps) {
         occurrence.steps.emplace_back(step.task_count);
         occurrence.remaining.push_back(step.task_count);
@@ -32,8 +30,14 @@
     }
 }
 
+void job_ledger::start_occurrences_through(ledger_job& job, std::uint32_t number) {
+    while (job.next_occurrence <= number && job.next_occurrence < job.record->plan.occurrence_count())
+        start_next_occurrence(job);
+}
+
 void job_ledger::apply_progress(ledger_job& job) {
     for (const task_progress& progress : job.record->progress) {
+        start_occurrences_through(job, progress.occurrence);
         ledger_task* task = find_task(job, {job.id, progress.occurrence, progress.step, progress.index});
         if (task == nullptr)
             continue;
@@ -44,6 +48,14 @@
             --job.occurrences[progress.occurrence].remaining[progress.step];
         }
     }
+    for (const auto& [number, occurrence] : job.occurrences) {
+        if (occurrence.is_done())
+            --job.occurrences_left;
+    }
+    if (!job.record->progress.empty()) {
+        job.has_started = true;
+        job.state = job_state::running;
+    }
 }
 
 ledger_job* job_ledger::find(const job_id& job) {
@@ -67,6 +79,11 @@
     return task.index < tasks.size() ? &tasks[task.index] : nullptr;
 }
 
+ledger_task* job_ledger::find_task_of_run(ledger_job& job, const run_ref& run) {
+    start_occurrences_through(job, run.task.occurrence);
+    return find_task(job, run.task);
+}
+
 void job_ledger::set_phase(ledger_job& job, ledger_task& task, task_phase phase) {
     if (task.phase == task_phase::waiting)
         --job.waiting_tasks;
@@ -77,7 +94,7 @@
 
 report_effect job_ledger::apply_report(ledger_job& job, const run_report& report, agent_number agent,
                                        time_point now) {
-    ledger_task* task = find_task(job, report.run.task);
+    ledger_task* task = find_task_of_run(job, report.run);
     if (task == nullptr || task->phase == task_phase::done)
         return report_effect::nothing;
     const run_number run = report.run.run;
@@ -166,8 +183,7 @@
     bool has_started = false;
     while (job.next_occurrence < plan.repeat_count &&
            plan.first_start_ms + job.next_occurrence * plan.interval_ms <= unix_time_ms) {
-        start_occurrence(job, job.next_occurrence);
-        ++job.next_occurrence;
+        start_next_occurrence(job);
         has_started = true;
     }
     return has_started;
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -31,8 +31,12 @@
     void erase(const job_id& job);
     void clear();
 
-    // Returns null if the job has no such task.
+    // Returns null if the job has no such task, or its occurrence has not begun here.
     static ledger_task* find_task(ledger_job& job, const task_ref& task);
+    // Returns the task of a run that an agent reports, or null if the job has no such task. Begins the
+    // occurrence if necessary: an earlier owner started the run, so it is due even if this entry's clock is
+    // behind.
+    static ledger_task* find_task_of_run(ledger_job& job, const run_ref& run);
 
     // Changes the phase of a task and updates the job's count of waiting tasks.
     static void set_phase(ledger_job& job, ledger_task& task, task_phase phase);
@@ -58,7 +62,8 @@
     const std::unordered_map<job_id, ledger_job>& jobs() const { return jobs_; }
 
 private:
-    static void start_occurrence(ledger_job& job, std::uint32_t number);
+    static void start_next_occurrence(ledger_job& job);
+    static void start_occurrences_through(ledger_job& job, std::uint32_t number);
     static void apply_progress(ledger_job& job);
 
     std::unordered_map<job_id, ledger_job> jobs_;
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -6,6 +6,7 @@
 #include "state/open_job.h"
 #include "state/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -34,6 +35,11 @@
     std::vector<std::vector<ledger_task>> steps;
     // Number of tasks of each step that are not done.
     std::vector<std::uint32_t> remaining;
+
+    bool is_done() const {
+        return std::all_of(remaining.begin(), remaining.end(),
+                           [](std::uint32_t tasks) { return tasks == 0; });
+    }
 };
 
 // A job that this entry owns.
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -835,6 +835,31 @@
     EXPECT_EQ(take_starts().size(), 1U);
 }
 
+// Guards against a job that never ends: all of its tasks were done and recorded when its owner stopped.
+TEST_F(adoption_test, completes_a_job_whose_tasks_are_all_done) {
+    entry_record record = self();
+    record.session = previous_session_;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.plan = job("a", true, 2).plan;
+    open.plan.repeat_count = 2;
+    for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+        for (task_index index = 0; index < 2; ++index)
+            open.progress.push_back({occurrence, 0, index, true, 0, {}});
+    }
+    store_.put(open_job_key(previous_session_, "a"), open);
+    store_.put(job_key("a"), job_status{});
+    prepare();
+    connect_agent();
+    EXPECT_TRUE(take_starts().empty());
+    const auto* status = std::get_if<job_status>(&store_.items().at(job_key("a")).value);
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->state, job_state::completed);
+    EXPECT_EQ(entry_.open_jobs(), 0U);
+}
+
 // Guards against a stopping entry that accepts jobs which it can no longer answer, and against one that
 // leaves the membership while it still serves.
 TEST_F(entry_core_test, serves_until_the_shutdown_refusal_time_and_then_leaves) {
