Adopt any number of sessions within the store's write limit

Cause: a session that took over another one took over all of its adoptions in the same write: 4 + 2n entries for its own former session, 6 + 2n for that of another entry. The store accepts 32, refused the write with 400, and it was built again unchanged for ever.

Now a claim or an adoption writes one session only. The adoptions of a session that was adopted follow in writes of at most 15, as they already did when both were written at the same time; the watch shows which have taken effect. Their count is greater than that of their successor's adoption, so runs of later owners are settled first however many owners a chain has left behind. If this session ends between the writes, the next one follows the same chain.

The same cause elsewhere:

- The limit is in one place, store_limits.h, and the store's model enforces it, so all tests of the decision logic and the soak meet it.
- A write that the store refuses for its form (400, 413) is told apart from a store that does not answer.
It is logged, counted as `rejected`, and never repeated at once: a batch of commits is sent again one by one, and only the commit at fault is abandoned; an end of a job is kept and sent again after 1 s.
Before, one oversized record would have kept up to nine other jobs out of the store.
- A record with progress that the store does not take is written again after 1 s instead of each tick.

On the code before, the new tests of session_manager_test do not end: the claim is repeated without a pause. The two tests of commit_queue_test fail; the one of platform_codec_test needs the new reply to compile.

--- a/coordination/commit_queue.cpp
+++ b/coordination/commit_queue.cpp
@@ -1,6 +1,7 @@
 #include "coordination/commit_queue.h"
 
 #include "coordination/store_keys.h"
+#include "coordination/store_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,9 +10,6 @@
 
 namespace {
 
-// Maximum number of conditions, values and removals that the store accepts in one write.
-constexpr std::size_t max_write_entries = 32;
-
 // Maximum estimated size of the records in one write. Far below the store's value limit, and quick to parse.
 // A larger record is written alone.
 constexpr std::size_t max_batch_bytes = std::size_t{256} * 1024;
@@ -32,6 +30,9 @@
 // Retry delay after a failure that reports that the write was not applied.
 constexpr milliseconds failure_backoff{40};
 
+// Retry delay after the store rejected a write that cannot be divided or dropped.
+constexpr milliseconds rejection_backoff{1000};
+
 // An acceptance is abandoned after this time if no attempt to write it can have been applied, so that its
 // caller gets a reply.
 constexpr milliseconds acceptance_timeout{250};
@@ -74,6 +75,7 @@
     entry_revision_ = 0;
     pending_commits_.clear();
     batches_.clear();
+    rejected_commits_ = 0;
 }
 
 void commit_queue::add(job_commit request, time_point) {
@@ -110,10 +112,13 @@
     next.call.conditions.push_back({entry_key(session_.name), entry_revision_});
     std::size_t entries = 1;
     std::size_t bytes = 0;
+    const std::size_t max_entries = rejected_commits_ > 0 ? entries : max_write_entries;
+    rejected_commits_ -= std::min<std::size_t>(rejected_commits_, 1);
     while (!pending_commits_.empty()) {
         const std::size_t entry_count = count_entries(pending_commits_.front());
         const std::size_t size = estimate_bytes(pending_commits_.front());
-        if (entries + entry_count > max_write_entries || (entries > 1 && bytes + size > max_batch_bytes))
+        // The first commit is always taken.
+        if (entries > 1 && (entries + entry_count > max_entries || bytes + size > max_batch_bytes))
             break;
         entries += entry_count;
         bytes += size;
@@ -183,6 +188,11 @@
     // The answer to a retried write may belong to any attempt, so it is not used as a round-trip sample.
     if (ended_batch.attempts == 1)
         round_trip_.answered(now - ended_batch.last_attempt_at);
+    if (std::holds_alternative<write_rejected>(reply)) {
+        if (resolve_rejection(ended_batch, now))
+            batches_.erase(found);
+        return false;
+    }
     bool is_deposed = false;
     if (const auto* applied = std::get_if<write_applied>(&reply))
         add_durable_results(ended_batch, *applied);
@@ -199,6 +209,24 @@
         results_.push_back({std::move(done), commit_outcome::durable, reply.revision, {}});
 }
 
+// Sends the commits of a rejected write again one by one, so that only the one at fault is abandoned. The end
+// of a job is never abandoned. Returns false if the batch must be sent again.
+bool commit_queue::resolve_rejection(batch& rejected_batch, time_point now) {
+    std::vector<job_commit>& commits = rejected_batch.commits;
+    if (commits.size() > 1) {
+        rejected_commits_ += commits.size();
+        pending_commits_.insert(pending_commits_.begin(), std::make_move_iterator(commits.begin()),
+                                std::make_move_iterator(commits.end()));
+        return true;
+    }
+    if (std::holds_alternative<end_commit>(commits.front().change)) {
+        rejected_batch.next_attempt_at = now + rejection_backoff;
+        return false;
+    }
+    results_.push_back({std::move(commits.front()), commit_outcome::abandoned, 0, {}});
+    return true;
+}
+
 // A conflicting write changes nothing. Commits whose conditions failed get a result. The others go into the
 // next write, and so do progress commits for which only the expected revision was stale. If the stored record
 // already is what a commit would write, an earlier attempt was applied.
--- a/coordination/commit_queue.h
+++ b/coordination/commit_queue.h
@@ -68,6 +68,7 @@
     void add_durable_results(batch& ended_batch, const write_applied& reply);
     // Returns false if the session is deposed.
     bool resolve_conflict(batch& failed_batch, const write_conflict& reply, time_point now);
+    bool resolve_rejection(batch& rejected_batch, time_point now);
     void schedule_retry(batch& failed_batch, const store_failure& failure, time_point now);
     void abandon_acceptances(batch& failed_batch);
 
@@ -75,6 +76,9 @@
     std::uint64_t entry_revision_ = 0;
     std::deque<job_commit> pending_commits_;
     std::map<std::uint64_t, batch> batches_;
+    // Number of pending commits, from the first on, that are sent alone because the store rejected a write
+    // that contained them.
+    std::size_t rejected_commits_ = 0;
     std::uint64_t last_id_ = 0;
     std::vector<commit_result> results_;
     round_trip_estimate round_trip_;
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -160,6 +160,10 @@
         return;
     const auto [source, own_id] = found->second;
     pending_store_calls_.erase(found);
+    if (const auto* rejected = std::get_if<write_rejected>(&answer))
+        record_decision(
+            "store rejects a write", {},
+            {{"detail", rejected->detail}, {"of_jobs", source == store_call_source::commits ? 1 : 0}}, true);
     switch (source) {
     case store_call_source::commits:
         if (commits_.replied(own_id, answer, now))
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -11,6 +11,9 @@
 // Delay after which refused callers should retry, if there is no better estimate.
 constexpr milliseconds default_retry_delay{1000};
 
+// Delay before progress is written again that the store did not take.
+constexpr milliseconds progress_retry_delay{1000};
+
 } // namespace
 
 void entry_core::end_job(ledger_job& job, job_state state, time_point now) {
@@ -54,6 +57,7 @@
 void entry_core::write_progress(time_point now) {
     for (auto& [id, job] : ledger_.jobs()) {
         if (job.phase != job_phase::open || job.unacknowledged_ends.empty() || job.is_progress_in_flight ||
+            now < job.next_progress_at ||
             now - job.unacknowledged_ends.front().reported_at < limits_.progress_delay)
             continue;
         job.is_progress_in_flight = true;
@@ -86,8 +90,10 @@
     if (progress == nullptr || job == nullptr)
         return;
     job->is_progress_in_flight = false;
-    if (result.outcome != commit_outcome::durable)
+    if (result.outcome != commit_outcome::durable) {
+        job->next_progress_at = now + progress_retry_delay;
         return;
+    }
     job->revision = result.revision;
     // The record does not contain ends that were reported after its creation. The next record will.
     std::vector<unacknowledged_end> unrecorded_ends;
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -74,6 +74,8 @@
     // A record with progress is being written. progress_created_at is the time at which it was created.
     bool is_progress_in_flight = false;
     time_point progress_created_at{};
+    // No record with progress is written before this time, because the store did not take the last one.
+    time_point next_progress_at{};
     // When the job arrived at this entry. For an adopted job, when it was first accepted.
     time_point accepted{};
     time_point ended{};
--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -1,6 +1,7 @@
 #include "coordination/session_manager.h"
 
 #include "coordination/store_keys.h"
+#include "coordination/store_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,14 +29,14 @@
 constexpr milliseconds adoption_stagger{120};
 
 constexpr milliseconds failure_backoff{60};
+// Backoff after the store rejected a write. The same write would be rejected again, but its content may
+// change.
+constexpr milliseconds rejection_backoff{1000};
 
 constexpr milliseconds initial_timeout{200};
 constexpr milliseconds min_timeout{80};
 constexpr milliseconds max_timeout{1000};
 
-// Maximum number of agents recorded per write. The store accepts 32 conditions and values in total per write.
-constexpr std::size_t max_agents_per_write = 15;
-
 // Interval of the checks for expired sessions while nothing else is due.
 constexpr milliseconds idle_check_interval{100};
 
@@ -171,12 +172,6 @@
     if (current_entry != nullptr) {
         const incarnation& former = current_entry->record.session;
         candidate_adoptions_.push_back({former, candidate_, 1});
-        for (const auto& [session, state] : members_.adoptions()) {
-            if (state.record.successor != former)
-                continue;
-            write.conditions.push_back({adopted_key(session), state.revision});
-            candidate_adoptions_.push_back({session, candidate_, state.record.succession_count + 1});
-        }
     }
     write.puts.push_back({entry_key(candidate_.name), self_});
     write.puts.push_back({liveness_key(candidate_), std::string{}, lease_});
@@ -293,7 +288,7 @@
     }
     if (!is_adopting_)
         return;
-    adopt_inherited_sessions(now);
+    inherit_adoptions(now);
     // Number of live entries whose names sort before this entry's name.
     std::uint64_t position = 0;
     for (const auto& [name, state] : members_.entries()) {
@@ -344,27 +339,33 @@
                std::max(*missing + missing_key_grace, store_available_since_ + liveness_return_grace) + delay;
 }
 
-// Adopts sessions whose successor was itself adopted by this session. If both adoptions were written at the
-// same time, the second one did not include the first.
-void session_manager::adopt_inherited_sessions(time_point now) {
+// Takes over the adoptions of sessions that this session has adopted. There may be more of them than fit in
+// one write, and some may have been written at the same time as the adoption of their successor, so they are
+// not part of that write. The watch shows which of them have taken effect.
+void session_manager::inherit_adoptions(time_point now) {
+    if (is_waiting_for(purpose::inherit_adoptions))
+        return;
+    constexpr std::size_t entries_per_adoption = 2;
+    store_write write;
+    write.conditions.push_back({entry_key(session_.name), entry_revision_});
     for (const auto& [former, state] : members_.adoptions()) {
         const auto next = members_.adoptions().find(state.record.successor);
-        if (next == members_.adoptions().end() || next->second.record.successor != session_ ||
-            pending_adoptions_.contains(former))
+        if (next == members_.adoptions().end() || next->second.record.successor != session_)
             continue;
+        if (count_entries(write) + entries_per_adoption > max_write_entries)
+            break;
         record_decision(
             "adopting the jobs of a session whose successor is gone",
             {{"former", session_text(former)}, {"successor", session_text(state.record.successor)}}, true);
-        pending_adoption& pending = pending_adoptions_[former];
-        pending.result.record = {former, session_, state.record.succession_count + 1};
-        pending.result.may_be_running = true;
-        store_write write;
-        write.conditions.push_back({entry_key(session_.name), entry_revision_});
+        // The runs of the successor are settled first, so its adoption must have the smaller count.
+        const std::uint32_t count =
+            std::max(state.record.succession_count, next->second.record.succession_count) + 1;
         write.conditions.push_back({adopted_key(former), state.revision});
-        write.puts.push_back({adopted_key(former), pending.result.record});
+        write.puts.push_back({adopted_key(former), session_adoption{former, session_, count}});
         stored_adoptions_.insert(former);
-        send(purpose::adopt_session, std::move(write), timeout(), now, former);
     }
+    if (!write.puts.empty())
+        send(purpose::inherit_adoptions, std::move(write), timeout(), now);
 }
 
 bool session_manager::is_successor_of_another(const incarnation& session) const {
@@ -391,14 +392,6 @@
     if (has_record)
         write.removals.push_back(entry_key(former.name));
     write.removals.push_back(liveness_key(former));
-    for (const auto& [session, state] : members_.adoptions()) {
-        if (state.record.successor != former)
-            continue;
-        write.conditions.push_back({adopted_key(session), state.revision});
-        write.puts.push_back(
-            {adopted_key(session), session_adoption{session, session_, state.record.succession_count + 1}});
-        stored_adoptions_.insert(session);
-    }
     send(purpose::adopt_session, std::move(write), timeout(), now, former);
 }
 
@@ -421,14 +414,6 @@
         is_view_current_ = false;
         return;
     }
-    const bool may_be_running = found->second.result.may_be_running;
-    for (const auto& [session, state] : members_.adoptions()) {
-        if (state.record.successor != former)
-            continue;
-        pending_adoption& chained = pending_adoptions_[session];
-        chained.result.record = {session, session_, state.record.succession_count + 1};
-        chained.result.may_be_running = may_be_running;
-    }
     list_jobs(former, now);
 }
 
@@ -500,7 +485,7 @@
     write.conditions.push_back({entry_key(session_.name), entry_revision_});
     agents_in_write_.clear();
     for (const auto& [name, agent] : needed_agents_) {
-        if (members_.agents().contains(name) || agents_in_write_.size() >= max_agents_per_write)
+        if (members_.agents().contains(name) || count_entries(write) >= max_write_entries)
             continue;
         write.puts.push_back({agent_key(name), agent});
         agents_in_write_.push_back(agent);
@@ -520,6 +505,8 @@
     if (const auto* failure = std::get_if<store_failure>(&reply)) {
         process_failure(sent, *failure, now);
     } else {
+        if (std::holds_alternative<write_rejected>(reply))
+            backoff_until_ = now + rejection_backoff;
         if (store_failing_since_ || last_contact_ == time_point{})
             store_available_since_ = now;
         store_failing_since_.reset();
@@ -563,6 +550,10 @@
     case purpose::adopt_session:
         process_adoption_reply(sent.former, reply, now);
         return;
+    case purpose::inherit_adoptions:
+        if (!std::holds_alternative<write_applied>(reply))
+            is_view_current_ = false;
+        return;
     case purpose::jobs:
         process_job_page(sent.former, reply, now);
         return;
--- a/coordination/session_manager.h
+++ b/coordination/session_manager.h
@@ -87,6 +87,7 @@
         renew_lease,
         write_liveness_key,
         adopt_session,
+        inherit_adoptions,
         jobs,
         agents,
         remove_adoption,
@@ -122,7 +123,7 @@
     void keep_alive(time_point now);
     void write_liveness_key(time_point now);
     void adopt_expired_sessions(time_point now);
-    void adopt_inherited_sessions(time_point now);
+    void inherit_adoptions(time_point now);
     void adopt_lost_successors(time_point now, milliseconds delay);
     bool may_adopt(const incarnation& session) const;
     bool is_expired(const incarnation& session, time_point now, milliseconds delay) const;
--- a/daemon/store_call_metrics.cpp
+++ b/daemon/store_call_metrics.cpp
@@ -11,8 +11,8 @@
 constexpr std::array<std::string_view, std::variant_size_v<store_call>> kinds{
     "write", "read", "list", "watch", "lease_open", "lease_renew", "lease_close"};
 constexpr std::array<std::string_view, std::variant_size_v<store_reply>> results{
-    "failed",  "applied", "conflict",     "found",       "missing",
-    "listing", "changes", "history_lost", "lease_valid", "lease_missing"};
+    "failed",  "applied",      "conflict",    "found",         "missing", "listing",
+    "changes", "history_lost", "lease_valid", "lease_missing", "rejected"};
 
 std::string_view result_label(const store_reply& reply) {
     const auto* failure = std::get_if<store_failure>(&reply);
--- a/standins/kv_model.cpp
+++ b/standins/kv_model.cpp
@@ -1,5 +1,7 @@
 #include "standins/kv_model.h"
 
+#include "coordination/store_limits.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -34,6 +36,8 @@
 }
 
 store_reply kv_model::answer(const store_write& write, time_point) {
+    if (count_entries(write) > max_write_entries)
+        return write_rejected{"too many entries"};
     bool holds = true;
     std::vector<store_item> present;
     for (const store_condition& condition : write.conditions) {
--- a/standins/kv_wire.cpp
+++ b/standins/kv_wire.cpp
@@ -99,6 +99,9 @@
     http_response operator()(const store_failure& failure) const {
         return {503, "application/json", {}, json{{"Error", failure.detail}}.dump()};
     }
+    http_response operator()(const write_rejected& rejected) const {
+        return {400, "application/json", {}, json{{"Error", rejected.detail}}.dump()};
+    }
     http_response operator()(const write_applied& applied) const {
         return ok({{"Revision", applied.revision}});
     }
--- a/state/store_reply.h
+++ b/state/store_reply.h
@@ -25,6 +25,13 @@
     static constexpr auto members() { return std::make_tuple(&write_conflict::items); }
 };
 
+// The store refuses the write as malformed or too large. It would refuse the same write again.
+struct write_rejected {
+    std::string detail;
+
+    static constexpr auto members() { return std::make_tuple(&write_rejected::detail); }
+};
+
 // The key that was read exists.
 struct item_found {
     store_item item;
@@ -89,7 +96,8 @@
 };
 
 // Reply to a store_call.
-using store_reply = std::variant<store_failure, write_applied, write_conflict, item_found, item_missing,
-                                 item_listing, item_changes, history_lost, lease_valid, lease_missing>;
+using store_reply =
+    std::variant<store_failure, write_applied, write_conflict, item_found, item_missing, item_listing,
+                 item_changes, history_lost, lease_valid, lease_missing, write_rejected>;
 
 } // namespace persimmonstile
--- a/tests/commit_queue_test.cpp
+++ b/tests/commit_queue_test.cpp
@@ -1,6 +1,8 @@
 #include "coordination/commit_queue.h"
 #include "coordination/store_keys.h"
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -109,6 +111,50 @@
     EXPECT_TRUE(queue_.is_empty());
 }
 
+// Guards against a write that the store rejects for its form and that is repeated unchanged for ever, and
+// against one job that keeps the others of its write out of the store.
+TEST_F(commit_queue_test, sends_the_commits_of_a_rejected_write_one_by_one) {
+    accept("sound");
+    accept("oversized");
+    queue_.add({"ended", end_commit{session_, {}}}, now_);
+    auto writes = queue_.take_writes(now_);
+    ASSERT_EQ(writes.size(), 1U);
+    queue_.replied(writes[0].id, write_rejected{"status 400"}, now_);
+    std::map<job_id, commit_outcome> outcomes;
+    for (int i = 0; i < 20; ++i) {
+        for (const auto& write : queue_.take_writes(now_)) {
+            EXPECT_LE(write.call.conditions.size(), 2U);
+            const bool is_oversized =
+                std::any_of(write.call.puts.begin(), write.call.puts.end(),
+                            [](const store_put& put) { return put.key == job_key("oversized"); });
+            queue_.replied(write.id,
+                           is_oversized ? store_reply{write_rejected{"status 413"}}
+                                        : store_reply{write_applied{60}},
+                           now_);
+        }
+        for (const commit_result& result : queue_.take_results())
+            outcomes[result.request.job] = result.outcome;
+        now_ += milliseconds{50};
+    }
+    EXPECT_TRUE(queue_.is_empty());
+    EXPECT_EQ(outcomes, (std::map<job_id, commit_outcome>{{"sound", commit_outcome::durable},
+                                                          {"oversized", commit_outcome::abandoned},
+                                                          {"ended", commit_outcome::durable}}));
+}
+
+// Guards against losing the end of a job because the store rejected its write.
+TEST_F(commit_queue_test, repeats_a_rejected_end_after_a_pause) {
+    queue_.add({"a", end_commit{session_, {}}}, now_);
+    queue_.replied(queue_.take_writes(now_).at(0).id, write_rejected{"status 400"}, now_);
+    now_ += milliseconds{500};
+    EXPECT_TRUE(queue_.take_writes(now_).empty());
+    now_ += milliseconds{500};
+    const auto writes = queue_.take_writes(now_);
+    ASSERT_EQ(writes.size(), 1U);
+    queue_.replied(writes[0].id, write_applied{60}, now_);
+    EXPECT_EQ(queue_.take_results().size(), 1U);
+}
+
 // Guards against losing the end of a job when the store refuses writes for 10 s.
 TEST_F(commit_queue_test, retries_an_end_until_the_store_applies_it) {
     queue_.add({"a", end_commit{session_, {}}}, now_);
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -64,6 +64,16 @@
     EXPECT_TRUE(failure(make_answer(200, "not json")));
 }
 
+// Guards against a write that the store refuses for its form and that is sent again unchanged for ever.
+TEST(store_codec, tells_a_rejected_write_from_a_failed_call) {
+    for (const long status : {400, 413}) {
+        EXPECT_TRUE(
+            std::holds_alternative<write_rejected>(decode_store_answer(store_write{}, make_answer(status))));
+        EXPECT_TRUE(
+            std::holds_alternative<store_failure>(decode_store_answer(store_read{"a"}, make_answer(status))));
+    }
+}
+
 TEST(store_codec, decodes_a_conflict_with_missing_keys) {
     const store_reply reply = decode_store_answer(
         store_write{},
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -309,6 +309,98 @@
     EXPECT_EQ(session_manager_.members().owner_of(former), session_manager_.session());
 }
 
+// The session "former" had adopted more sessions than fit in one write, each with one durable job. The store
+// rejects larger writes.
+class many_adoptions_test : public session_manager_test {
+protected:
+    static constexpr std::uint64_t adoptions = 50;
+
+    void store_adoptions(const incarnation& former) {
+        for (std::uint64_t number = 1; number <= adoptions; ++number) {
+            const incarnation session{"earlier", number};
+            store_.put(open_job_key(session, "job" + std::to_string(number)), open_job{});
+            store_.put(adopted_key(session), session_adoption{session, former, 3});
+        }
+    }
+
+    void expect_all_adopted(const incarnation& former) {
+        std::size_t jobs = 0;
+        for (const session_manager::adopted_jobs& adopted : session_manager_.take_adopted()) {
+            jobs += adopted.jobs.size();
+            EXPECT_EQ(adopted.record.successor, session_manager_.session());
+            EXPECT_EQ(adopted.record.succession_count, adopted.record.former == former ? 1U : 4U);
+        }
+        EXPECT_EQ(jobs, adoptions);
+    }
+};
+
+// Guards against an entry that never gets a session again, because its claim has more entries than the store
+// accepts in one write.
+TEST_F(many_adoptions_test, a_restarted_entry_adopts_what_its_former_session_had_adopted) {
+    const incarnation former{"entry", 77};
+    add_other(former);
+    store_adoptions(former);
+    advance_time(milliseconds{1000});
+    ASSERT_EQ(session_manager_.session().number, 1U);
+    expect_all_adopted(former);
+}
+
+// Guards against jobs that no entry adopts for the same reason.
+TEST_F(many_adoptions_test, another_entry_adopts_what_an_expired_session_had_adopted) {
+    const incarnation former{"other", 9};
+    add_other(former);
+    store_adoptions(former);
+    answer_calls();
+    advance_time(milliseconds{3000});
+    store_.remove(liveness_key(former));
+    advance_time(milliseconds{3000});
+    expect_all_adopted(former);
+}
+
+// Guards against the same for a successor that left no record.
+TEST_F(many_adoptions_test, another_entry_adopts_what_a_lost_successor_had_adopted) {
+    const incarnation former{"other", 9};
+    store_adoptions(former);
+    advance_time(milliseconds{6000});
+    expect_all_adopted(former);
+}
+
+// Guards against starting tasks before the runs of every owner are known: in a chain of adoptions that were
+// all left behind, the later owners must have the smaller counts.
+TEST_F(session_manager_test, counts_the_owners_of_a_chain_from_its_end) {
+    const incarnation first{"first", 1};
+    const incarnation second{"second", 2};
+    const incarnation third{"third", 3};
+    store_.put(adopted_key(first), session_adoption{first, second, 1});
+    store_.put(adopted_key(second), session_adoption{second, third, 1});
+    add_other(third);
+    store_.remove(liveness_key(third));
+    advance_time(milliseconds{6000});
+    std::map<incarnation, std::uint32_t> counts;
+    for (const session_manager::adopted_jobs& adopted : session_manager_.take_adopted())
+        counts[adopted.record.former] = adopted.record.succession_count;
+    EXPECT_EQ(counts, (std::map<incarnation, std::uint32_t>{{third, 1}, {second, 2}, {first, 3}}));
+}
+
+// Guards against an entry that repeats a rejected write without a pause.
+TEST_F(session_manager_test, pauses_after_the_store_rejects_a_write) {
+    int rejected = 0;
+    for (int i = 0; i < 200; ++i) {
+        for (const session_manager::call& call : session_manager_.take_calls(now_)) {
+            std::optional<store_reply> reply = store_.call(call.what, now_);
+            if (std::holds_alternative<store_write>(call.what)) {
+                reply = write_rejected{"status 400"};
+                ++rejected;
+            }
+            if (reply)
+                session_manager_.replied(call.id, *reply, now_);
+        }
+        now_ += milliseconds{10};
+    }
+    EXPECT_GE(rejected, 1);
+    EXPECT_LE(rejected, 3);
+}
+
 // An entry adopts a session ("first") at the moment when this entry adopts that entry ("middle").
 class chained_adoption_test : public session_manager_test {
 protected:
