Start a durable task again only when the lease of its run has expired

Cause: 2.97 s after the last contact to an agent, its owner took all runs there for ended without a result. By then the agent had stopped what was running, but a run may also have ended `done` before, and its backend server stays under its lease as long as the agent serves another entry. The tasks were placed elsewhere; after the cut the agent reported the ends, they were ignored as those of older runs, and acknowledged.

- An agent that has a durable run, or an end of one, whose owner has been away for 7 s lets the lease of its backend server expire: no renewal and no start until then, at most 1.07 s.
An end under an expired lease does not count.
It goes on as before when the owner is back, or a successor has claimed or recorded the end.
- An owner presumes durable runs at an unreachable agent lost 8.17 s after its last contact, a successor 8.17 s after its adoption (and 6 s more if the former process may be running).
Both are later than the agent's own limit, whose time starts earlier.
Until then the result is taken when the cut is over, and nothing runs twice.
- A restarted agent does not know how long owners of the ends that it finds have been away.
It starts and renews nothing until they are claimed or the lease has expired.
- A `done` end of a run that was presumed lost ends its task, and the newer run is stopped.
- The successor of an owner counts as present from the former owner's last contact until its first pong.
Before, a tick in between would have taken it for absent.

The price: a durable task whose machine is gone for good starts again 5.2 s later than before. Where a cut lasts longer than 7 s and unrecorded ends are behind it, all runs at these backend servers end once. Jobs that are not durable keep their times.

Read for the same cause: adoptions (mended with it), restarted agents (mended), runs at former backend servers and at silent ones (these wait for the lease already).

On the code before, three of the four tests of absent_owner_test fail, and of entry_core_test `keeps_the_runs_of_an_unreachable_agent_until_it_lets_their_lease_expire`, `takes_the_late_result_of_a_run_that_was_presumed_lost` and `waits_until_an_unreachable_agent_has_let_its_leases_expire`.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -37,6 +37,7 @@
     if (!are_durable_inventories_published_ && is_publishable)
         publish_inventories(now);
     check_owner_contact(now);
+    update_lease_expiry(now);
     check_timeouts(now);
     forget_ended_backend(now);
     offer_orphans(now);
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -144,6 +144,8 @@
     void send_hold_order(time_point now);
     void raise_token(time_point now);
     bool should_renew_lease(time_point now) const;
+    bool may_be_presumed_lost(const run_record& record, time_point now) const;
+    void update_lease_expiry(time_point now);
     bool needs_hold() const;
     std::uint64_t end_to_acknowledge(time_point now) const;
     bool is_hold_due(time_point now) const;
@@ -230,6 +232,8 @@
     bool is_synchronized_ = false;
     // Several hold orders in a row failed, so the lease is no longer renewed and new runs are refused.
     bool is_unresponsive_ = false;
+    // The lease is not renewed until it has expired, because of durable runs whose owner is away.
+    bool is_lease_expiring_ = false;
     // The inventories were sent, so owners may conclude that a run that is not listed does not exist.
     bool are_inventories_published_ = false;
     // The same for the runs of durable jobs.
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -74,7 +74,7 @@
     milliseconds orphan_offer_interval{1000};
     // If the owner of an ended run has been unreachable for this time, the end is offered to all entries,
     // because the owner's successor may never have connected to this agent.
-    milliseconds owner_absence_timeout{6000};
+    milliseconds owner_absence_timeout = durable_owner_absence;
     // A task counts as stalled after a quarter of its expected run time without progress. Progress is
     // reported in percent, and a slow backend server may take several times as long as expected. The minimum
     // allows for two waits for a list. The maximum limits the effect of an expectation that is too long.
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -218,7 +218,7 @@
     }
 }
 
-void agent_core::receive(link_number, const recorded_run_ends& message, time_point) {
+void agent_core::receive(link_number, const recorded_run_ends& message, time_point now) {
     if (message.backend_life != backend_.life)
         return;
     std::set<std::uint64_t> numbers{message.end_numbers.begin(), message.end_numbers.end()};
@@ -231,6 +231,8 @@
     });
     for (const run_ref& run : recorded_runs)
         runs_.erase(run);
+    if (is_lease_expiring_)
+        update_lease_expiry(now);
 }
 
 void agent_core::receive(link_number link, const owner_succession& message, time_point now) {
@@ -238,6 +240,9 @@
         record_decision("owner was deposed", {},
                         {{"former", message.former.name}, {"successor", message.successor.name}});
     deposed_owners_[message.former] = message.successor;
+    // Until the successor's first pong, its runs are not those of an absent owner.
+    owners_[message.successor].last_contact =
+        std::max(owners_[message.successor].last_contact, owners_[message.former].last_contact);
     run_inventory inventory;
     inventory.owner = message.former;
     inventory.received_starts = links_[link].received_starts;
@@ -277,6 +282,8 @@
         else
             report(*record, now);
     }
+    if (is_lease_expiring_)
+        update_lease_expiry(now);
 }
 
 run_report agent_core::make_report(const run_record& record, time_point now) const {
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -41,7 +41,7 @@
 }
 
 std::optional<run_refusal> agent_core::refusal_reason() const {
-    if (!has_profile_ || !is_synchronized_ || is_unresponsive_)
+    if (!has_profile_ || !is_synchronized_ || is_unresponsive_ || is_lease_expiring_)
         return run_refusal::no_backend;
     if (backend_.draining || is_shutting_down_)
         return run_refusal::draining;
@@ -125,7 +125,7 @@
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
     hold.wait = is_unresponsive_ ? milliseconds{0} : limits_.max_hold_wait;
-    hold.renews = should_renew_lease(now);
+    hold.renews = should_renew_lease(now) && !is_lease_expiring_;
     const milliseconds timeout = hold.wait + order_round_trip_.timeout();
     hold_order_id_ = send_order(hold, timeout, now);
 }
@@ -138,7 +138,7 @@
                               static_cast<std::uint64_t>(std::max<std::int64_t>(0, backend_clock_.at(now))));
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
-    hold.renews = should_renew_lease(now);
+    hold.renews = should_renew_lease(now) && !is_lease_expiring_;
     raise_order_id_ = send_order(hold, order_round_trip_.timeout(), now);
 }
 
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -79,16 +79,19 @@
                      (is_durable ? owner_contact_lease : caller_contact_lease(limits_.caller_resend_delay));
 }
 
-// Stops runs that have expired or whose owner has been unreachable for too long. A successor that cannot
-// reach this agent waits for at least owner_contact_lease and the bound of the run lease, and then relies on
-// the runs having ended. Ended runs of an owner that stays away lose their owner, so that they are offered to
+// Stops runs that have expired or whose owner has been unreachable for too long. An entry that cannot reach
+// this agent waits for longer than that and the bound of the run lease, and then relies on the runs having
+// ended. Ended runs of an owner that stays away lose their owner, so that they are offered to
 // all entries. Also sends the stop orders of running runs that have to stop and have no stop order yet.
 void agent_core::check_owner_contact(time_point now) {
     std::vector<run_ref> abandoned;
     runs_.for_each([&](run_record& record) {
         if (is_final(record.state) && !record.owner.name.empty() &&
-            now >= std::max(record.ended, owners_[record.owner].last_contact) + limits_.owner_absence_timeout)
+            now >=
+                std::max(record.ended, owners_[record.owner].last_contact) + limits_.owner_absence_timeout) {
             record.owner = {};
+            record.was_owner_away = true;
+        }
         if (is_final(record.state) || record.is_stop_requested)
             return;
         // A run that the agent found at the backend server has no owner until an entry claims it. The lists
@@ -112,6 +115,41 @@
     });
 }
 
+// Whether the owner of a durable run, or its successor, may presume the run lost and start the task again.
+// How long the owner of a run that an earlier process of this agent started has been away is not known.
+bool agent_core::may_be_presumed_lost(const run_record& record, time_point now) const {
+    if (!record.is_durable || record.has_lease_expired || record.state == run_state::queued)
+        return false;
+    if (record.owner.name.empty())
+        return is_final(record.state) &&
+               (record.was_owner_away || record.accepted < former_leases_expired_at_);
+    const auto owner = owners_.find(record.owner);
+    return owner == owners_.end() || now >= owner->second.last_contact + durable_owner_absence;
+}
+
+// A run that may be presumed lost must not end `done` under a lease that goes on: its end would count
+// although the task has been started again. Without a renewal the lease expires, with all runs at the backend
+// server.
+void agent_core::update_lease_expiry(time_point now) {
+    if (is_lease_expiring_ && now >= all_leases_expired_at_) {
+        runs_.for_each(
+            [&](run_record& record) { record.has_lease_expired = record.state != run_state::queued; });
+        record_decision("lease of the backend server has expired", {}, {{"backend", backend_.id}});
+    }
+    std::int64_t presumed_lost = 0;
+    runs_.for_each(
+        [&](const run_record& record) { presumed_lost += may_be_presumed_lost(record, now) ? 1 : 0; });
+    const bool was_expiring = std::exchange(is_lease_expiring_, presumed_lost > 0);
+    if (!is_lease_expiring_ || was_expiring)
+        return;
+    record_decision("letting the lease of the backend server expire: owners of durable runs are away", {},
+                    {{"backend", backend_.id},
+                     {"runs", presumed_lost},
+                     {"active", static_cast<std::int64_t>(runs_.active_count())}},
+                    true);
+    refuse_queued(run_refusal::no_backend, now);
+}
+
 // Ends runs whose lease has expired at an unresponsive backend server, and refuses runs that were queued for
 // too long.
 void agent_core::check_timeouts(time_point now) {
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -232,6 +232,8 @@
     }
     const ledger_task* before = job_ledger::find_task_of_run(*job, report.run);
     const ledger_task task_before = before != nullptr ? *before : ledger_task{};
+    if (report.state == run_state::done)
+        stop_newer_run(*job, report.run);
     const report_effect effect = job_ledger::apply_report(*job, report, agent.number, now);
     if (!is_final(report.state) && effect != report_effect::nothing)
         agent.runs.try_emplace(report.run, 0);
@@ -279,6 +281,23 @@
     }
 }
 
+// The run of a task succeeded although it was presumed lost, and the task was started again.
+void entry_core::stop_newer_run(ledger_job& job, const run_ref& done) {
+    const ledger_task* task = job_ledger::find_task(job, done.task);
+    if (task == nullptr || (task->phase != task_phase::placed && task->phase != task_phase::running) ||
+        done.run >= task->run)
+        return;
+    const agent_view* agent = agents_.find_by_number(task->agent);
+    record_decision("run that was presumed lost is done; stopping the newer run", job.id,
+                    {{"step", done.task.step},
+                     {"task", done.task.index},
+                     {"run", static_cast<std::int64_t>(done.run)},
+                     {"newest_run", static_cast<std::int64_t>(task->run)}},
+                    true);
+    if (agent != nullptr && agent->link != 0)
+        output_.messages.emplace_back(agent->link, run_stop_request{owner_of(job), {{done.task, task->run}}});
+}
+
 void entry_core::update_run_time_estimates(agent_view& agent, ledger_job& job, const run_report& report,
                                            const ledger_task& task) {
     if (report.state == run_state::done && task.run == report.run.run && report.run_us > 0 &&
@@ -331,7 +350,8 @@
     }
 }
 
-// Treats the runs of a disconnected agent as lost once their leases have certainly expired.
+// Treats the runs of a disconnected agent as lost once their leases have certainly expired. The agent may
+// serve other entries, so the lease under which a durable run has ended expires only when the agent lets it.
 void entry_core::expire_unreachable_runs(time_point now) {
     const milliseconds lease = limits_.run_lease_bound();
     for (auto& [number, agent] : agents_.all()) {
@@ -344,7 +364,7 @@
             const ledger_job* job = ledger_.find(run.task.job);
             const bool is_durable = job != nullptr && job->is_durable();
             const milliseconds contact_lease =
-                is_durable ? owner_contact_lease : caller_contact_lease(limits_.caller_resend_delay);
+                is_durable ? durable_owner_absence : caller_contact_lease(limits_.caller_resend_delay);
             if (now < agent.last_reading_at + contact_lease + lease)
                 continue;
             mark_run_lost(agent, run, now);
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -77,7 +77,7 @@
         state.record = adopted.record;
         for (const auto& [name, agent] : members().agents())
             state.unanswered_agents.insert(name);
-        state.runs_ended_by = now + owner_contact_lease + limits_.run_lease_bound() +
+        state.runs_ended_by = now + durable_owner_absence + limits_.run_lease_bound() +
                               (adopted.may_be_running ? limits_.store_contact_timeout : milliseconds{0});
         for (const store_item& item : adopted.jobs) {
             const auto* record = std::get_if<open_job>(&item.value);
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -105,9 +105,13 @@
         set_phase(job, *task, task_phase::placed);
         task->placed = now;
     }
-    // The run was presumed lost, but it succeeded before its lease expired.
-    if (report.state == run_state::done && run == task->run && task->phase == task_phase::waiting)
-        set_phase(job, *task, task_phase::running);
+    // The run was presumed lost, but it succeeded. Its result counts even if a newer run has been started.
+    const bool was_presumed_lost = task->phase == task_phase::waiting || run < task->run;
+    if (report.state == run_state::done && run <= task->run && was_presumed_lost) {
+        set_phase(job, *task, task_phase::done);
+        --job.occurrences[report.run.task.occurrence].remaining[report.run.task.step];
+        return report_effect::done;
+    }
     if (run != task->run || task->agent != agent ||
         (task->phase != task_phase::placed && task->phase != task_phase::running))
         return report_effect::nothing;
--- a/coordination/run_record.h
+++ b/coordination/run_record.h
@@ -46,6 +46,11 @@
     milliseconds expected{0};
     time_point ended{};
     std::uint64_t end_number = 0;
+    // The owner stayed away, so the end of the run was offered to all entries.
+    bool was_owner_away = false;
+    // The lease of the backend server has expired since the run ended. The owner may have started the task
+    // again.
+    bool has_lease_expired = false;
     // Set while the run is at a former backend server, or a former life of the present one, that may still
     // work: when its lease has expired in any case.
     std::optional<time_point> lease_expires_at;
--- a/state/limits.h
+++ b/state/limits.h
@@ -31,6 +31,12 @@
 // reach the agent must wait until this time has passed.
 constexpr std::chrono::milliseconds owner_contact_lease{1800};
 
+// Time without contact to the owner after which an agent lets the lease of its backend server expire if it
+// has ends of durable runs that the owner has not recorded. The owner, or its successor, starts the tasks
+// again once this has certainly happened. The time is longer than partitions that are usual, because the
+// lease belongs to all runs at the backend server.
+constexpr std::chrono::milliseconds durable_owner_absence{7000};
+
 // A caller whose connection broke resends its job after this time at the earliest, unless the settings give
 // another value.
 constexpr std::chrono::milliseconds default_caller_resend_delay{1300};
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -299,6 +299,115 @@
     EXPECT_EQ(agent_.backend_id(), "");
 }
 
+// A durable task of the entry has ended `done` when the entry becomes unreachable. Another entry keeps the
+// backend server at work, so its lease is renewed.
+class absent_owner_test : public agent_core_test {
+protected:
+    static constexpr link_number other_link = 2;
+    const incarnation other_process_{"other", 15};
+    std::vector<listed_end> ends_;
+    bool is_renewed_ = false;
+
+    void end_task_of_unreachable_owner() {
+        connect_and_synchronize();
+        agent_.link_opened(other_link, now_);
+        agent_.received(other_link, entry_welcome{other_process_, {"other", 16}, {"other:1"}, {}, 0}, now_);
+        send_starts(1, true);
+        answer(*take_order<start_order>(), backend_verdict::accepted);
+        send_pong_of_other();
+        answer(*start_other("other"), backend_verdict::accepted);
+        ends_.push_back({1, run_of(0), run_state::done, {}});
+        serve(milliseconds{100});
+        agent_.link_closed(entry_link, now_);
+    }
+
+    // Lets time pass. The backend server answers, and the other entry stays in contact.
+    void serve(milliseconds time) {
+        for (const time_point end = now_ + time; now_ < end;) {
+            send_pong_of_other();
+            advance_time(milliseconds{20});
+            while (const auto order = take_order<hold_order>()) {
+                is_renewed_ = std::get<hold_order>(order->action).renews;
+                answer(*order, backend_verdict::accepted, {{{{"other", 0, 0, 0}, 1}, {}, ++percent_}}, ends_);
+            }
+        }
+    }
+
+    void send_pong_of_other() {
+        agent_.received(other_link, owner_pong{now_.time_since_epoch().count(), true}, now_);
+        collect();
+    }
+
+    bool starts_a_run(const job_id& job) { return start_other(job).has_value(); }
+
+    // Lets the other entry order a run. Returns the start order.
+    std::optional<backend_order> start_other(const job_id& job) {
+        run_start_request message;
+        message.owner = other_process_;
+        message.job = job;
+        message.is_durable = false;
+        message.pong = {now_.time_since_epoch().count(), true};
+        message.runs.push_back({0, 0, 0, 1, {task_millicores, 64, 0}, {}, 0});
+        agent_.received(other_link, message, now_);
+        collect();
+        return take_order<start_order>();
+    }
+
+private:
+    std::uint32_t percent_ = 0;
+};
+
+// Guards against a task that runs twice behind a partition: its owner starts it again, although the first run
+// has ended `done` under a lease that goes on.
+TEST_F(absent_owner_test, lets_the_lease_expire_before_the_owner_presumes_the_run_lost) {
+    end_task_of_unreachable_owner();
+    serve(durable_owner_absence - milliseconds{200});
+    EXPECT_TRUE(is_renewed_);
+    EXPECT_TRUE(starts_a_run("early"));
+    serve(milliseconds{300});
+    EXPECT_FALSE(is_renewed_);
+    EXPECT_FALSE(starts_a_run("late"));
+    serve(agent_limits{}.max_lease - milliseconds{300});
+    EXPECT_FALSE(is_renewed_);
+    serve(milliseconds{400});
+    EXPECT_TRUE(starts_a_run("next"));
+}
+
+// Guards against a lease that expires, with all other runs, although the owner is back in time.
+TEST_F(absent_owner_test, renews_the_lease_when_the_owner_is_back) {
+    end_task_of_unreachable_owner();
+    serve(durable_owner_absence - milliseconds{500});
+    connect();
+    serve(milliseconds{600});
+    EXPECT_TRUE(is_renewed_);
+    EXPECT_TRUE(was_reported(run_of(0), run_state::done));
+}
+
+// Guards against a backend server without new work after the owner's successor has recorded the end.
+TEST_F(absent_owner_test, renews_the_lease_when_the_end_is_recorded) {
+    end_task_of_unreachable_owner();
+    serve(durable_owner_absence + milliseconds{100});
+    EXPECT_FALSE(is_renewed_);
+    agent_.received(other_link, recorded_run_ends{1000, {1}}, now_);
+    ends_.clear();
+    EXPECT_TRUE(starts_a_run("next"));
+}
+
+// Guards against the same fault after a restart of the agent, which does not know how long the owner of an
+// end that it finds has been away.
+TEST_F(absent_owner_test, lets_the_lease_expire_after_a_restart_with_an_unclaimed_end) {
+    connect();
+    announce(profile());
+    const std::vector<listed_end> found{{1, run_of(0), run_state::done, {}}};
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {}, found);
+    advance_time(milliseconds{20});
+    send_starts(1, false, "next");
+    EXPECT_FALSE(take_order<start_order>());
+    agent_.received(entry_link, run_claim{session_, true, {{run_of(0), {task_millicores, 64, 0}}}}, now_);
+    send_starts(1, false, "next");
+    EXPECT_TRUE(take_order<start_order>());
+}
+
 // Guards against a second run of a task beside one at a backend server that was replaced while the agent
 // restarted, and that goes on until its lease expires.
 TEST_F(agent_core_test, sends_no_inventory_beside_a_new_backend_server_before_former_leases_expire) {
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -694,6 +694,53 @@
     EXPECT_EQ(take_starts(12).size(), 1U);
 }
 
+// Guards against a second run of a durable task that has ended `done` at an agent behind a partition. The
+// agent serves other entries, so the lease of its backend server goes on until the agent lets it expire.
+TEST_F(entry_core_test, keeps_the_runs_of_an_unreachable_agent_until_it_lets_their_lease_expire) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    serve_store();
+    ASSERT_EQ(take_starts().size(), 1U);
+    entry_.link_closed(agent_link);
+    connect_agent(12, "other");
+    for (time_point end = now_ + durable_owner_absence + entry_limits{}.max_run_lease; now_ < end;) {
+        advance_time(milliseconds{100});
+        serve_store();
+        ASSERT_TRUE(take_starts(12).empty());
+    }
+    advance_time(milliseconds{300});
+    EXPECT_EQ(take_starts(12).size(), 1U);
+}
+
+// Guards against a task that goes on, or starts again, although a run of it that was presumed lost is done.
+TEST_F(entry_core_test, takes_the_late_result_of_a_run_that_was_presumed_lost) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    serve_store();
+    const std::vector<run_ref> first = take_starts();
+    ASSERT_EQ(first.size(), 1U);
+    entry_.link_closed(agent_link);
+    connect_agent(12, "other");
+    for (int i = 0; i < 100; ++i) {
+        advance_time(milliseconds{100});
+        serve_store();
+    }
+    const std::vector<run_ref> second = take_starts(12);
+    ASSERT_EQ(second.size(), 1U);
+    connect_agent(13);
+    take_messages<run_stop_request>(12);
+    report(report_of(first[0], run_state::done), 13);
+    const std::vector<run_stop_request> stops = take_messages<run_stop_request>(12);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].runs, second);
+    serve_store();
+    const auto* status = std::get_if<job_status>(&store_.items().at(job_key("a")).value);
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->state, job_state::completed);
+}
+
 // Guards against starting a task of an adopted job while an agent may still run it: every recorded agent must
 // first send its inventory for the previous session.
 TEST_F(entry_core_test, starts_an_adopted_job_after_every_recorded_agent_replies) {
@@ -774,6 +821,33 @@
     }
 };
 
+// Guards against a second run of a task of an adopted job that has ended `done` at an agent which cannot
+// reach the successor but serves another entry.
+TEST_F(adoption_test, waits_until_an_unreachable_agent_has_let_its_leases_expire) {
+    entry_record record = self();
+    record.session = previous_session_;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.max_attempts = 2;
+    open.plan = job("a", true, 1).plan;
+    store_.put(open_job_key(previous_session_, "a"), open);
+    store_.put(job_key("a"), job_status{});
+    store_.put(agent_key("agent"), agent_record{"agent", "zone"});
+    store_.put(agent_key("unreachable"), agent_record{"unreachable", "zone"});
+    prepare();
+    connect_agent();
+    entry_.received(agent_link, run_inventory{previous_session_, {}, 0}, now_, wall_);
+    for (time_point end = now_ + durable_owner_absence + entry_limits{}.max_run_lease; now_ < end;) {
+        advance_time(milliseconds{100});
+        serve_store();
+        ASSERT_TRUE(take_starts().empty());
+    }
+    advance_time(milliseconds{300});
+    EXPECT_EQ(take_starts().size(), 1U);
+}
+
 // Guards against losing a job that is resubmitted during its adoption. In the soak with seed 46 the adoption
 // skipped the job because its acceptance was in flight, and the acceptance then dropped the job because it
 // found the record of the previous session.
