Count each failed run of a task once, by its number

The entry is killed between its write of the progress and the answer.

Cause: the stored progress had the number of failures of a task, but not the runs that had failed. An agent reports an end until it is acknowledged, also to a successor. For the successor that was a run of a deposed owner that it had not seen, so it counted the failure again. The opposite existed too: a failure that was reported after that of a later run, or while a later run was in progress, was acknowledged without being counted, and so was the result of a later run than the one in progress; the task then starts beyond its attempts or a second time.

Evidence: on the log of edge-1 has "adopted a job" with progress 1, then "run failed" with run 1 and failures 2, then "job failed"; the executor had ended one run as failed.

Change: task_progress and ledger_task hold the numbers of the failed runs, and a failure counts once for each number, whenever it is reported. A result ends its task whichever run it is; another run that is in progress is stopped. Records of earlier versions stay readable, and earlier versions read the new ones. Such a record does not say which runs it includes, so a failure of an earlier owner's run is taken for one of them: a job never fails too early, at the price of one start more at most for each such failure.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -233,7 +233,7 @@
     const ledger_task* before = job_ledger::find_task_of_run(*job, report.run);
     const ledger_task task_before = before != nullptr ? *before : ledger_task{};
     if (report.state == run_state::done)
-        stop_newer_run(*job, report.run);
+        stop_other_run(*job, report.run);
     const report_effect effect = job_ledger::apply_report(*job, report, agent.number, now);
     if (!is_final(report.state) && effect != report_effect::nothing)
         agent.runs.try_emplace(report.run, 0);
@@ -281,18 +281,19 @@
     }
 }
 
-// The run of a task succeeded although it was presumed lost, and the task was started again.
-void entry_core::stop_newer_run(ledger_job& job, const run_ref& done) {
+// A run of the task is done while another one is in progress: it was presumed lost, or a deposed owner had
+// started both.
+void entry_core::stop_other_run(ledger_job& job, const run_ref& done) {
     const ledger_task* task = job_ledger::find_task(job, done.task);
     if (task == nullptr || (task->phase != task_phase::placed && task->phase != task_phase::running) ||
-        done.run >= task->run)
+        done.run == task->run)
         return;
     const agent_view* agent = agents_.find_by_number(task->agent);
-    record_decision("run that was presumed lost is done; stopping the newer run", job.id,
+    record_decision("a run is done while another one is in progress; stopping the other one", job.id,
                     {{"step", done.task.step},
                      {"task", done.task.index},
                      {"run", static_cast<std::int64_t>(done.run)},
-                     {"newest_run", static_cast<std::int64_t>(task->run)}},
+                     {"other_run", static_cast<std::int64_t>(task->run)}},
                     true);
     if (agent != nullptr && agent->link != 0)
         output_.messages.emplace_back(agent->link, run_stop_request{owner_of(job), {{done.task, task->run}}});
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -118,7 +118,7 @@
     void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity);
     void apply_report(agent_view& agent, const run_report& report, time_point now);
     static void mark_started(ledger_job& job);
-    void stop_newer_run(ledger_job& job, const run_ref& done);
+    void stop_other_run(ledger_job& job, const run_ref& done);
     void update_run_time_estimates(agent_view& agent, ledger_job& job, const run_report& report,
                                    const ledger_task& task);
     void process_finished_task(ledger_job& job, const task_ref& task, time_point now);
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -1,10 +1,31 @@
 #include "coordination/job_ledger.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace persimmonstile {
 
+namespace {
+
+bool is_in_progress(const ledger_task& task) {
+    return task.phase == task_phase::placed || task.phase == task_phase::running;
+}
+
+// Counts a failed run. Returns false if it was counted before.
+bool count_failure(ledger_task& task, run_number run, run_number last_predecessor_run) {
+    const bool has_unnamed_failures = task.failures > task.failed_runs.size();
+    if (!task.failed_runs.insert(run).second)
+        return false;
+    // The record of an earlier version does not tell which failures it includes. A run of an earlier owner is
+    // taken for one of them, because a job must not fail before its attempts are used up.
+    if (!has_unnamed_failures || run > last_predecessor_run)
+        ++task.failures;
+    return true;
+}
+
+} // namespace
+
 ledger_job& job_ledger::add(const job_id& job, std::shared_ptr<const open_job> record,
                             const incarnation& record_session, run_number last_predecessor_run,
                             time_point now) {
@@ -41,7 +62,8 @@
         ledger_task* task = find_task(job, {job.id, progress.occurrence, progress.step, progress.index});
         if (task == nullptr)
             continue;
-        task->failures = progress.failures;
+        task->failed_runs = {progress.failed_runs.begin(), progress.failed_runs.end()};
+        task->failures = std::max(progress.failures, static_cast<std::uint32_t>(task->failed_runs.size()));
         task->checkpoint = progress.checkpoint;
         if (progress.is_done && task->phase != task_phase::done) {
             set_phase(job, *task, task_phase::done);
@@ -99,24 +121,33 @@
         return report_effect::nothing;
     const run_number run = report.run.run;
     // This owner did not start the run, so a deposed owner did. The newest run of a task counts.
-    if (task->phase == task_phase::waiting && run > task->run) {
+    if (task->phase == task_phase::waiting && run > task->run && !task->failed_runs.contains(run)) {
         task->run = run;
         task->agent = agent;
         set_phase(job, *task, task_phase::placed);
         task->placed = now;
     }
-    // The run was presumed lost, but it succeeded. Its result counts even if a newer run has been started.
-    const bool was_presumed_lost = task->phase == task_phase::waiting || run < task->run;
-    if (report.state == run_state::done && run <= task->run && was_presumed_lost) {
+    const bool is_current = is_in_progress(*task) && run == task->run;
+    if (is_current && task->agent != agent)
+        return report_effect::nothing;
+    // A result counts even if the run was presumed lost and another one is in progress.
+    if (report.state == run_state::done) {
         set_phase(job, *task, task_phase::done);
         --job.occurrences[report.run.task.occurrence].remaining[report.run.task.step];
         return report_effect::done;
     }
-    if (run != task->run || task->agent != agent ||
-        (task->phase != task_phase::placed && task->phase != task_phase::running))
-        return report_effect::nothing;
-    if (!report.checkpoint.empty())
+    if (is_current && !report.checkpoint.empty())
         task->checkpoint = report.checkpoint;
+    if (report.state == run_state::failed) {
+        if (!count_failure(*task, run, job.last_predecessor_run))
+            return report_effect::nothing;
+        task->avoided_agents.push_back(agent);
+        if (is_current)
+            set_phase(job, *task, task_phase::waiting);
+        return report_effect::failed;
+    }
+    if (!is_current)
+        return report_effect::nothing;
     switch (report.state) {
     case run_state::queued:
     case run_state::starting:
@@ -128,14 +159,8 @@
         task->started = now - report.run_time();
         return report_effect::started;
     case run_state::done:
-        set_phase(job, *task, task_phase::done);
-        --job.occurrences[report.run.task.occurrence].remaining[report.run.task.step];
-        return report_effect::done;
     case run_state::failed:
-        set_phase(job, *task, task_phase::waiting);
-        ++task->failures;
-        task->avoided_agents.push_back(agent);
-        return report_effect::failed;
+        break;
     case run_state::stopped:
     case run_state::lapsed:
     case run_state::broken:
@@ -202,8 +227,13 @@
             for (task_index index = 0; index < tasks.size(); ++index) {
                 const ledger_task& task = tasks[index];
                 if (task.phase == task_phase::done || task.failures > 0 || !task.checkpoint.empty())
-                    record->progress.push_back({number, step, index, task.phase == task_phase::done,
-                                                task.failures, task.checkpoint});
+                    record->progress.push_back({number,
+                                                step,
+                                                index,
+                                                task.phase == task_phase::done,
+                                                task.failures,
+                                                task.checkpoint,
+                                                {task.failed_runs.begin(), task.failed_runs.end()}});
             }
         }
     }
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -14,10 +14,11 @@
 namespace persimmonstile {
 
 // The effect of a report on a task.
-//   nothing   the report is not about the task's newest run, or contains nothing new
+//   nothing   the report contains nothing new, or concerns neither a result nor the task's newest run
 //   started   the run has started
-//   done      the run succeeded, so the task is done
-//   failed    the run failed through its own fault or the backend server's; the task waits again
+//   done      the run succeeded, so the task is done, whichever run it is
+//   failed    the run failed through its own fault or the backend server's, which was not counted before; the
+//             task waits again unless another run of it is in progress
 //   waiting   the run ended without a result; the task waits again
 enum class report_effect : std::uint8_t { nothing, started, done, failed, waiting };
 
--- a/coordination/ledger_task.h
+++ b/coordination/ledger_task.h
@@ -4,6 +4,7 @@
 #include "state/time.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,11 @@
     run_number run = 0;
     // Agent of the newest run, valid while the task is placed or running.
     agent_number agent = 0;
+    // Number of failed runs, through their own fault or the backend server's.
     std::uint32_t failures = 0;
+    // The failed runs that are known by number. An agent reports an end until it is acknowledged, also to a
+    // successor of the job's owner, and each run counts once.
+    std::set<run_number> failed_runs;
     time_point placed{};
     time_point started{};
     std::string checkpoint;
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -909,6 +909,47 @@
     EXPECT_EQ(take_starts().size(), 1U);
 }
 
+// Guards against a job that is shown as failed after one of two attempts: its owner died after it had
+// recorded the failure and before it had acknowledged it, so the agent reports the end to the successor.
+TEST_F(adoption_test, does_not_count_a_recorded_failure_again) {
+    entry_record record = self();
+    record.session = previous_session_;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.max_attempts = 2;
+    open.plan = job("a", true, 1).plan;
+    open.progress.push_back({0, 0, 0, false, 1, {}, {1}});
+    store_.put(open_job_key(previous_session_, "a"), open);
+    store_.put(job_key("a"), job_status{});
+    store_.put(agent_key("agent"), agent_record{"agent", "zone"});
+    prepare();
+    connect_agent();
+    const run_ref first{{"a", 0, 0, 0}, 1};
+    const run_ref second{{"a", 0, 0, 0}, 2};
+    run_report failed = report_of(first, run_state::failed);
+    failed.end_number = 1;
+    failed.backend_life = 1000;
+    failed.awaits_record = true;
+    entry_.received(agent_link,
+                    run_inventory{previous_session_, {failed, report_of(second, run_state::running)}, 0},
+                    now_, wall_);
+    advance_time(milliseconds{30});
+    serve_store();
+    EXPECT_TRUE(take_messages<run_stop_request>().empty());
+    EXPECT_TRUE(take_starts().empty());
+    report(report_of(second, run_state::done));
+    serve_store();
+    const auto* status = std::get_if<job_status>(&store_.items().at(job_key("a")).value);
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->state, job_state::completed);
+    // The repeated end is acknowledged, or its agent would report it for ever.
+    const std::vector<recorded_run_ends> recorded = take_messages<recorded_run_ends>();
+    ASSERT_EQ(recorded.size(), 1U);
+    EXPECT_EQ(recorded[0].end_numbers, std::vector<std::uint64_t>{1});
+}
+
 // Guards against a job that never ends: all of its tasks were done and recorded when its owner stopped.
 TEST_F(adoption_test, completes_a_job_whose_tasks_are_all_done) {
     entry_record record = self();
@@ -921,7 +962,7 @@
     open.plan.repeat_count = 2;
     for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
         for (task_index index = 0; index < 2; ++index)
-            open.progress.push_back({occurrence, 0, index, true, 0, {}});
+            open.progress.push_back({occurrence, 0, index, true, 0, {}, {}});
     }
     store_.put(open_job_key(previous_session_, "a"), open);
     store_.put(job_key("a"), job_status{});
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -48,6 +48,34 @@
     EXPECT_EQ(std::get<job_status>(*record).owner, status.owner);
 }
 
+// The progress of a task as earlier versions stored it, without the numbers of the failed runs.
+struct former_task_progress {
+    std::uint32_t occurrence = 1;
+    std::uint32_t step = 2;
+    task_index index = 3;
+    bool is_done = false;
+    std::uint32_t failures = 4;
+    std::string checkpoint = "saved";
+
+    static constexpr auto members() {
+        return std::make_tuple(&former_task_progress::occurrence, &former_task_progress::step,
+                               &former_task_progress::index, &former_task_progress::is_done,
+                               &former_task_progress::failures, &former_task_progress::checkpoint);
+    }
+};
+
+// Guards against records that the entries of the neighbouring version cannot read, during an upgrade or after
+// a return to the former version.
+TEST(store_codec, reads_the_progress_that_the_neighbouring_version_stored) {
+    const auto stored_before = decode_record<task_progress>(encode_record(former_task_progress{}));
+    ASSERT_TRUE(stored_before);
+    EXPECT_EQ(*stored_before, (task_progress{1, 2, 3, false, 4, "saved", {}}));
+    const auto stored_now =
+        decode_record<former_task_progress>(encode_record(task_progress{1, 2, 3, false, 5, "saved", {1, 7}}));
+    ASSERT_TRUE(stored_now);
+    EXPECT_EQ(stored_now->failures, 5U);
+}
+
 TEST(store_codec, distinguishes_unapplied_from_possibly_applied_writes) {
     const store_call write = store_write{};
     const auto failure = [&](const http_answer& answer) {
