Claim no run of a job that is not accepted yet

What callers saw: nothing yet; found by random histories. A task whose run is done starts again, and all later ends of that backend server are never acknowledged.

Cause: a durable job is resubmitted to a second entry, which holds it in its ledger while it writes the acceptance. A restarted agent offers the end of a run that it found; the second entry claims the run and records the end with its own copy of the job. The acceptance then fails, because the first entry had accepted the job before; the copy is dropped, and with it the end. The owner and its successors never get it.

Change: a job that is being accepted owns no run; reports and found runs of it are treated like those of a job that the entry does not have.

Result: entry_core_test.claims_no_run_of_a_job_that_it_has_not_accepted fails before and passes now.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -85,6 +85,13 @@
     return session().number != 0 && now - session_manager_.last_contact() < limits_.store_contact_timeout;
 }
 
+// Returns null for a job that is not accepted here yet. Its runs, if there are any, are those of another
+// owner that has accepted it before.
+ledger_job* entry_core::find_owned_job(const job_id& id) {
+    ledger_job* job = ledger_.find(id);
+    return job != nullptr && job->phase == job_phase::accepting ? nullptr : job;
+}
+
 void entry_core::update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity) {
     agent.reported_capacity = reported_capacity;
     while (!agent.unacknowledged_starts.empty() &&
@@ -146,7 +153,7 @@
     for (const run_report& report : message.reports) {
         if (is_final(report.state))
             continue;
-        ledger_job* job = ledger_.find(report.run.task.job);
+        ledger_job* job = find_owned_job(report.run.task.job);
         // The jobs of a session that this entry is about to adopt are not in the ledger yet. The store tells
         // whether the job has ended.
         if (job == nullptr && message.owner != process_ && !ended_jobs_.find(report.run.task.job))
@@ -179,7 +186,7 @@
     run_stop_request durable_stop{session(), {}};
     run_stop_request non_durable_stop{process_, {}};
     for (const run_report& report : orphans.reports) {
-        ledger_job* job = ledger_.find(report.run.task.job);
+        ledger_job* job = find_owned_job(report.run.task.job);
         if (job == nullptr) {
             // The job has ended here, so no other entry will record the end of the run.
             if (ended_jobs_.find(report.run.task.job) != nullptr && report.awaits_record)
@@ -245,7 +252,7 @@
     const job_id& id = report.run.task.job;
     if (is_final(report.state))
         agent.runs.erase(report.run);
-    ledger_job* job = ledger_.find(id);
+    ledger_job* job = find_owned_job(id);
     if (job == nullptr) {
         // If the job has ended here, the end is no longer needed. Otherwise the job may belong to another
         // entry, which still needs the end.
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -115,6 +115,7 @@
     void send_welcome_to_all();
     std::vector<std::string> entry_addresses() const;
     static void record_contact(agent_view& agent, std::int64_t reading_ns, time_point now);
+    ledger_job* find_owned_job(const job_id& id);
     void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity);
     void apply_report(agent_view& agent, const run_report& report, time_point now);
     static void mark_started(ledger_job& job);
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -625,6 +625,24 @@
     EXPECT_EQ(stops[0].runs, runs);
 }
 
+// Guards against an end that the owner of a job never gets, and that holds up all later ends of its backend
+// server: an entry to which the job was resubmitted has claimed the run, and then does not accept the job.
+// Found by the histories with series of faults, seed 689.
+TEST_F(entry_core_test, claims_no_run_of_a_job_that_it_has_not_accepted) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    run_report done = report_of({{"a", 0, 0, 0}, 1}, run_state::done);
+    done.end_number = 1;
+    done.backend_life = 1000;
+    done.awaits_record = true;
+    entry_.received(agent_link, run_inventory{{}, {done}, 0}, now_, wall_);
+    collect();
+    EXPECT_TRUE(take_messages<run_claim>().empty());
+    serve_store();
+    EXPECT_EQ(take_starts().size(), 1U);
+}
+
 // A durable job is cancelled while the agent of its run is away, so no stop is sent.
 class cancelled_run_test : public entry_core_test {
 protected:
