Let a deposed owner start and conclude nothing it cannot prove

What callers saw: a task runs at two backend servers at once. Random histories showed one more way to it.

Cause: for up to 6 s a deposed entry takes itself for the owner. Agents that the successor has told refuse its orders, but - adoptions that were settled were not told to agents that connected later, and a restarted agent may connect to the former owner first; - a run that an agent does not list counts as lost. A restarted agent lists no end that the successor has recorded, so the former owner starts the finished task again at an agent that was not told yet; - read, not shown: an agent that connects to a successor listed its runs before it read the succession, so the successor could take runs of the former owner for lost.

Evidence: history 56 with series of faults, on the working tree without the second part: entry1 marks the run at the restarted agent3 as lapsed 1.5 s after entry2 has recorded its end, and starts it at agent1.

Change: an entry gives durable runs to a new process of an agent, and takes a durable run for lost, only after the store has confirmed that its entry record is unchanged, with a read or a conditional write sent after that moment. Successions of open jobs are told to each agent that connects, before the welcome. An agent lists no runs to a session that it knows to be deposed.

keeps_the_runs_of_an_unreachable_agent_until_it_lets_their_lease_expire expected the start without an answer of the store. It now expects none before the answer, and the start after it.

--- a/coordination/agent_directory.cpp
+++ b/coordination/agent_directory.cpp
@@ -35,6 +35,7 @@
     agent.link = link;
     agent.is_introduced = false;
     agent.is_session_introduced = false;
+    agent.missing_since.reset();
     agent.sent_starts = 0;
     agent.last_reading_ns = 0;
     for (auto& [run, start] : agent.runs)
@@ -51,6 +52,7 @@
         start = 0;
     agent.is_introduced = false;
     agent.is_session_introduced = false;
+    agent.missing_since.reset();
     agent.unacknowledged_starts.clear();
 }
 
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -529,7 +529,8 @@
     send_inventory(link, state.process, now);
     if (!are_durable_inventories_published_)
         return;
-    if (!state.session.name.empty())
+    // The runs of a deposed session are its successor's, so it would treat them as lost.
+    if (!state.session.name.empty() && !deposed_owners_.contains(state.session))
         send_inventory(link, state.session, now);
     for (const auto& [former, successor] : deposed_owners_) {
         if (successor == state.session)
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -12,9 +12,11 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace persimmonstile {
 
@@ -30,6 +32,17 @@
     agent_profile profile;
     // The agent is recorded in the store, so a successor of this entry would query it.
     bool is_recorded = false;
+    // When the agent's process first connected. It started before and does not know which owners were deposed
+    // until then.
+    time_point process_seen_at{};
+    // The session of this entry was not deposed when the agent's process connected. Otherwise a successor may
+    // own the durable jobs, and the agent would not know.
+    bool is_ownership_confirmed = false;
+    // The durable runs that the agent should have listed when it was introduced, and when it did not. A
+    // successor of this entry may have recorded their ends, so nothing is concluded before the store has
+    // confirmed the ownership.
+    std::vector<run_ref> missing_runs;
+    std::optional<time_point> missing_since;
     // Since it connected, the agent has reported all runs of non-durable jobs (is_introduced) and of durable
     // jobs (is_session_introduced).
     bool is_introduced = false;
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -46,6 +46,10 @@
         agent.former_backend = agent.profile.backend;
         agent.former_leases_expire_at = now + limits_.run_lease_bound();
     }
+    if (profile.agent.number != agent.profile.agent.number) {
+        agent.process_seen_at = now;
+        agent.is_ownership_confirmed = false;
+    }
     agent.profile = profile;
     if (is_new_backend) {
         agent.slowness = robust_average{16};
@@ -54,11 +58,16 @@
         agents_.connect(agent, link);
         record_decision("agent connected", {},
                         {{"agent", agent.name}, {"accepts", profile.accepts_runs ? 1 : 0}});
+        // The process may have started after an adoption was settled, and does not know of it. It lists its
+        // runs after the welcome, and must know by then whose they are.
+        for (const auto& [former, state] : successions_)
+            output_.messages.emplace_back(link, owner_succession{former, session()});
         send_welcome(agent);
-        for (const auto& [former, state] : successions_) {
-            if (!state.is_settled)
-                output_.messages.emplace_back(link, owner_succession{former, session()});
-        }
+        const bool has_durable_jobs =
+            std::any_of(ledger_.jobs().begin(), ledger_.jobs().end(),
+                        [](const auto& entry) { return entry.second.is_durable(); });
+        if (has_durable_jobs)
+            confirm_ownership();
         agent.reported_capacity = profile.reported_capacity;
     } else {
         update_free_capacity(agent, profile.reported_capacity);
@@ -85,6 +94,19 @@
     return session().number != 0 && now - session_manager_.last_contact() < limits_.store_contact_timeout;
 }
 
+// A deposed owner that cannot reach the store may give durable runs only to agents that its successor has
+// told about the succession. A process that connected later may have started after that, so the store must
+// confirm the ownership first.
+void entry_core::confirm_ownership() {
+    for (auto& [number, agent] : agents_.all()) {
+        agent.is_ownership_confirmed = session_manager_.confirmed_at() >= agent.process_seen_at;
+        if (agent.is_ownership_confirmed || agent.link == 0)
+            continue;
+        session_manager_.request_confirmation();
+        is_session_update_needed_ = true;
+    }
+}
+
 // Returns null for a job that is not accepted here yet. Its runs, if there are any, are those of another
 // owner that has accepted it before.
 ledger_job* entry_core::find_owned_job(const job_id& id) {
@@ -92,6 +114,32 @@
     return job != nullptr && job->phase == job_phase::accepting ? nullptr : job;
 }
 
+bool entry_core::is_durable_run(const run_ref& run) const {
+    const ledger_job* job = ledger_.find(run.task.job);
+    return job != nullptr && job->is_durable();
+}
+
+// Whether the session was not deposed at the time of the evidence. If that is not known, the store is asked.
+// What a deposed owner takes for lost may have ended done for its successor.
+bool entry_core::is_owner_since(time_point evidence) {
+    if (session_manager_.confirmed_at() >= evidence)
+        return true;
+    session_manager_.request_confirmation();
+    is_session_update_needed_ = true;
+    return false;
+}
+
+void entry_core::conclude_confirmed_losses(time_point now) {
+    for (auto& [number, agent] : agents_.all()) {
+        if (!agent.missing_since || session_manager_.confirmed_at() < *agent.missing_since)
+            continue;
+        agent.missing_since.reset();
+        conclude_lost_runs(agent, agent.missing_runs, now);
+        agent.is_session_introduced = true;
+        is_plan_needed_ = true;
+    }
+}
+
 void entry_core::update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity) {
     agent.reported_capacity = reported_capacity;
     while (!agent.unacknowledged_starts.empty() &&
@@ -118,34 +166,59 @@
         claim_orphans(*agent, message, now);
         return;
     }
-    std::set<run_ref> listed;
-    for (const run_report& report : message.reports) {
-        listed.insert(report.run);
+    for (const run_report& report : message.reports)
         apply_report(*agent, report, now);
-    }
     stop_obsolete_runs(*agent, message, now);
     if (message.owner != session() && message.owner != process_) {
         record_succession_answer(agent->name, message.owner);
         is_session_update_needed_ = true;
         return;
     }
-    // If the agent has received the start message but does not list the run, the run is not running there and
-    // never will be.
+    for (const run_report& report : message.reports)
+        agent->runs_at_former_backend.erase(report.run);
+    std::vector<run_ref> missing = missing_runs(*agent, message);
     const bool is_durable = message.owner == session();
-    const std::map<run_ref, std::uint64_t> known_runs = agent->runs;
-    for (const auto& [run, start] : known_runs) {
-        const ledger_job* job = ledger_.find(run.task.job);
-        if (listed.contains(run))
-            agent->runs_at_former_backend.erase(run);
-        else if (start == 0 && agent->may_have_former_runs(now))
-            agent->runs_at_former_backend.insert(run);
-        else if (start <= message.received_starts && (job == nullptr || job->is_durable() == is_durable))
-            mark_run_lost(*agent, run, now);
+    if (is_durable && !missing.empty() && !is_owner_since(now)) {
+        agent->missing_runs = std::move(missing);
+        agent->missing_since = now;
+        return;
     }
+    conclude_lost_runs(*agent, missing, now);
     (is_durable ? agent->is_session_introduced : agent->is_introduced) = true;
     is_plan_needed_ = true;
 }
 
+// Runs of the inventory's owner that the agent should know but does not list.
+std::vector<run_ref> entry_core::missing_runs(const agent_view& agent, const run_inventory& message) {
+    const bool is_durable = message.owner == session();
+    std::set<run_ref> listed;
+    for (const run_report& report : message.reports)
+        listed.insert(report.run);
+    std::vector<run_ref> missing;
+    for (const auto& [run, start] : agent.runs) {
+        const ledger_job* job = ledger_.find(run.task.job);
+        if (!listed.contains(run) && start <= message.received_starts &&
+            (job == nullptr || job->is_durable() == is_durable))
+            missing.push_back(run);
+    }
+    return missing;
+}
+
+// If the agent has received the start message but does not list the run, the run is not running there and
+// never will be.
+void entry_core::conclude_lost_runs(agent_view& agent, const std::vector<run_ref>& missing, time_point now) {
+    for (const run_ref& run : missing) {
+        const auto known = agent.runs.find(run);
+        // It has ended or was claimed since.
+        if (known == agent.runs.end() || known->second == agent_view::claimed_start)
+            continue;
+        if (known->second == 0 && agent.may_have_former_runs(now))
+            agent.runs_at_former_backend.insert(run);
+        else
+            mark_run_lost(agent, run, now);
+    }
+}
+
 // Stops runs that the agent lists as in progress although they are not needed: the stop that was due earlier
 // could not be sent, or was lost with the connection.
 void entry_core::stop_obsolete_runs(agent_view& agent, const run_inventory& message, time_point now) {
@@ -376,7 +449,11 @@
 void entry_core::end_former_runs(agent_view& agent, time_point now) {
     if (agent.runs_at_former_backend.empty() || now < agent.former_leases_expire_at)
         return;
-    for (const run_ref& run : std::exchange(agent.runs_at_former_backend, {})) {
+    const std::set<run_ref> runs = agent.runs_at_former_backend;
+    for (const run_ref& run : runs) {
+        if (is_durable_run(run) && !is_owner_since(agent.former_leases_expire_at))
+            continue;
+        agent.runs_at_former_backend.erase(run);
         const auto found = agent.runs.find(run);
         if (found != agent.runs.end() && found->second == 0)
             mark_run_lost(agent, run, now);
@@ -394,11 +471,11 @@
         const std::map<run_ref, std::uint64_t> runs = agent.runs;
         bool has_lost_runs = false;
         for (const auto& [run, start] : runs) {
-            const ledger_job* job = ledger_.find(run.task.job);
-            const bool is_durable = job != nullptr && job->is_durable();
+            const bool is_durable = is_durable_run(run);
             const milliseconds contact_lease =
                 is_durable ? durable_owner_absence : caller_contact_lease(limits_.caller_resend_delay);
-            if (now < agent.last_reading_at + contact_lease + lease)
+            const time_point ended_by = agent.last_reading_at + contact_lease + lease;
+            if (now < ended_by || (is_durable && !is_owner_since(ended_by)))
                 continue;
             mark_run_lost(agent, run, now);
             has_lost_runs = true;
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -171,8 +171,13 @@
         for (const commit_result& result : commits_.take_results())
             process_commit_result(result, now);
         break;
-    case store_call_source::keeper:
+    case store_call_source::keeper: {
+        const time_point confirmed_before = session_manager_.confirmed_at();
         session_manager_.replied(own_id, answer, now);
+        if (session_manager_.confirmed_at() != confirmed_before) {
+            is_plan_needed_ = true;
+            conclude_confirmed_losses(now);
+        }
         for (auto& [number, agent] : agents_.all()) {
             const bool is_recorded = members().agents().contains(agent.name);
             if (is_recorded != agent.is_recorded) {
@@ -181,6 +186,7 @@
             }
         }
         break;
+    }
     case store_call_source::operators:
         operator_records_.replied(own_id, answer, now);
         break;
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -115,7 +115,11 @@
     void send_welcome_to_all();
     std::vector<std::string> entry_addresses() const;
     static void record_contact(agent_view& agent, std::int64_t reading_ns, time_point now);
+    void confirm_ownership();
     ledger_job* find_owned_job(const job_id& id);
+    bool is_durable_run(const run_ref& run) const;
+    bool is_owner_since(time_point evidence);
+    void conclude_confirmed_losses(time_point now);
     void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity);
     void apply_report(agent_view& agent, const run_report& report, time_point now);
     static void mark_started(ledger_job& job);
@@ -127,6 +131,8 @@
     void process_finished_task(ledger_job& job, const task_ref& task, time_point now);
     void end_former_runs(agent_view& agent, time_point now);
     void expire_unreachable_runs(time_point now);
+    std::vector<run_ref> missing_runs(const agent_view& agent, const run_inventory& message);
+    void conclude_lost_runs(agent_view& agent, const std::vector<run_ref>& missing, time_point now);
     void mark_run_lost(agent_view& agent, const run_ref& run, time_point now);
     void acknowledge(agent_number agent, std::uint64_t life, std::uint64_t number);
     void acknowledge_all(ledger_job& job);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -175,13 +175,18 @@
     if (!config_)
         return;
     const bool may_place_durable = is_ownership_certain(now);
+    bool has_durable = false;
     std::vector<ledger_job*> waiting;
     for (auto& [id, job] : ledger_.jobs()) {
         if (job.is_durable() && !may_place_durable)
             continue;
-        if (job.phase == job_phase::open && job_ledger::count_placeable_tasks(job) > 0)
+        if (job.phase == job_phase::open && job_ledger::count_placeable_tasks(job) > 0) {
             waiting.push_back(&job);
+            has_durable = has_durable || job.is_durable();
+        }
     }
+    if (has_durable)
+        confirm_ownership();
     if (waiting.empty())
         return;
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -66,6 +66,7 @@
         std::erase_if(agent.runs,
                       [&](const auto& run) { return ledger_.find(run.first.task.job) == nullptr; });
         agent.is_session_introduced = false;
+        agent.missing_since.reset();
     }
 }
 
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -85,6 +85,11 @@
     return found == jobs_.end() ? nullptr : &found->second;
 }
 
+const ledger_job* job_ledger::find(const job_id& job) const {
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
 void job_ledger::erase(const job_id& job) {
     jobs_.erase(job);
 }
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -29,6 +29,7 @@
     ledger_job& add(const job_id& job, std::shared_ptr<const open_job> record,
                     const incarnation& record_session, run_number last_predecessor_run, time_point now);
     ledger_job* find(const job_id& job);
+    const ledger_job* find(const job_id& job) const;
     void erase(const job_id& job);
     void clear();
 
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -52,9 +52,9 @@
     static bool is_usable(const agent_view& agent, const std::string& service,
                           const deployment_config& config, time_point now);
     // Whether the agent may get runs of durable jobs. A successor of this entry must be able to find such
-    // runs.
+    // runs, and must not exist yet.
     static bool is_usable_for_durable(const agent_view& agent) {
-        return agent.is_session_introduced && agent.is_recorded;
+        return agent.is_session_introduced && agent.is_recorded && agent.is_ownership_confirmed;
     }
 
 private:
--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -89,6 +89,7 @@
             for (const auto& [former, pending] : pending_adoptions_)
                 list_jobs(former, now);
             record_agents(now);
+            confirm_ownership(now);
             break;
         case phase::leaving:
             if (!is_waiting_for(purpose::leave)) {
@@ -494,6 +495,26 @@
         send(purpose::agents, std::move(write), timeout(), now);
 }
 
+// --- confirmation ---
+
+void session_manager::confirm_ownership(time_point now) {
+    if (!is_confirmation_requested_ || is_waiting_for(purpose::confirm))
+        return;
+    is_confirmation_requested_ = false;
+    send(purpose::confirm, store_read{entry_key(self_.session.name)}, timeout(), now);
+}
+
+// Whoever deposes this session replaces or removes its entry record.
+void session_manager::process_confirmation(const store_reply& reply, time_point sent, time_point now) {
+    const auto* found = std::get_if<item_found>(&reply);
+    if (found != nullptr && found->item.revision == entry_revision_)
+        confirmed_at_ = std::max(confirmed_at_, sent);
+    else if (found != nullptr || std::holds_alternative<item_missing>(reply))
+        deposed(now);
+    else
+        is_confirmation_requested_ = true;
+}
+
 // --- replies ---
 
 void session_manager::replied(std::uint64_t id, const store_reply& reply, time_point now) {
@@ -514,6 +535,9 @@
         if (sent.call_purpose != purpose::watch_members)
             round_trip_.answered(now - sent.sent);
     }
+    // All writes are conditional on the entry record.
+    if (std::holds_alternative<write_applied>(reply))
+        confirmed_at_ = std::max(confirmed_at_, sent.sent);
     switch (sent.call_purpose) {
     case purpose::list_members:
         if (const auto* page = std::get_if<item_listing>(&reply))
@@ -568,6 +592,9 @@
         if (std::holds_alternative<write_applied>(reply))
             stored_adoptions_.erase(sent.former);
         return;
+    case purpose::confirm:
+        process_confirmation(reply, sent.sent, now);
+        return;
     case purpose::leave:
         if (!std::holds_alternative<store_failure>(reply))
             phase_ = phase::left;
@@ -605,6 +632,8 @@
     lease_ = 0;
     is_liveness_key_written_ = false;
     is_view_current_ = false;
+    is_confirmation_requested_ = false;
+    confirmed_at_ = {};
     listing_.clear();
     listing_after_.clear();
     pending_adoptions_.clear();
--- a/coordination/session_manager.h
+++ b/coordination/session_manager.h
@@ -58,6 +58,10 @@
 
     // Sets the agents that must be recorded in the store. Those without a record get one.
     void set_needed_agents(const std::vector<agent_record>& agents, time_point now);
+    // Asks the store whether this session still owns its jobs. confirmed_at changes if so.
+    void request_confirmation() { is_confirmation_requested_ = true; }
+    // The session had not been deposed at this time, nor before. The store has confirmed it later.
+    time_point confirmed_at() const { return confirmed_at_; }
     // True while this session still adopts, or reads the jobs of, a session with a smaller
     // succession_count.
     bool is_adopting_below(std::uint32_t succession_count) const;
@@ -91,6 +95,7 @@
         jobs,
         agents,
         remove_adoption,
+        confirm,
         leave
     };
 
@@ -133,6 +138,8 @@
     void list_jobs(const incarnation& former, time_point now);
     void process_job_page(const incarnation& former, const store_reply& reply, time_point now);
     void record_agents(time_point now);
+    void confirm_ownership(time_point now);
+    void process_confirmation(const store_reply& reply, time_point sent, time_point now);
     void reset_session(time_point now);
     void record_decision(std::string_view what,
                          std::vector<std::pair<std::string_view, decision::value>> inputs,
@@ -154,6 +161,8 @@
     std::string listing_after_;
     std::uint64_t watch_revision_ = 0;
     bool is_view_current_ = false;
+    bool is_confirmation_requested_ = false;
+    time_point confirmed_at_{};
 
     std::uint64_t lease_ = 0;
     bool is_liveness_key_written_ = false;
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -299,6 +299,28 @@
     EXPECT_EQ(agent_.backend_id(), "");
 }
 
+// Guards against a second run of a task whose end the successor has recorded: its former owner, which does
+// not know that it is deposed, would treat the run as lost because the list does not contain it.
+TEST_F(agent_core_test, lists_no_runs_to_a_deposed_owner) {
+    connect_and_synchronize();
+    send_starts(1, true);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    constexpr link_number other_link = 2;
+    agent_.link_opened(other_link, now_);
+    agent_.received(other_link, owner_succession{session_, {"other", 16}}, now_);
+    agent_.link_closed(entry_link, now_);
+    collect();
+    messages_.clear();
+    connect();
+    collect();
+    std::set<incarnation> owners;
+    for (const work_message& message : messages_) {
+        if (const auto* inventory = std::get_if<run_inventory>(&message))
+            owners.insert(inventory->owner);
+    }
+    EXPECT_EQ(owners, std::set<incarnation>{process_});
+}
+
 // A durable task of the entry has ended `done` when the entry becomes unreachable. Another entry keeps the
 // backend server at work, so its lease is renewed.
 class absent_owner_test : public agent_core_test {
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -820,6 +820,10 @@
         ASSERT_TRUE(take_starts(12).empty());
     }
     advance_time(milliseconds{300});
+    // A successor may have recorded their ends until the store denies it.
+    EXPECT_TRUE(take_starts(12).empty());
+    serve_store();
+    advance_time(milliseconds{10});
     EXPECT_EQ(take_starts(12).size(), 1U);
 }
 
@@ -851,6 +855,64 @@
     EXPECT_EQ(status->state, job_state::completed);
 }
 
+// Guards against a task that two owners start: an entry that cannot reach the store may be deposed, and an
+// agent that has restarted since does not know of it.
+TEST_F(entry_core_test, starts_durable_runs_at_a_restarted_agent_after_the_store_confirms_its_ownership) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    submit(job("b", false, 1));
+    serve_store();
+    ASSERT_EQ(take_starts().size(), 2U);
+    advance_time(milliseconds{1});
+    entry_.link_closed(agent_link);
+    constexpr link_number link = 12;
+    introduce_agent(link, "agent", 2);
+    advance_time(milliseconds{30});
+    const std::vector<run_ref> starts = take_starts(link);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.job, "b");
+    serve_store();
+    EXPECT_EQ(take_starts(link).size(), 1U);
+}
+
+// Guards against a second run of a task that is done: the successor of an entry that does not know that it is
+// deposed has recorded the end, so a restarted agent does not list the run. Found by the histories with
+// series of faults, seed 56.
+TEST_F(entry_core_test, takes_no_run_for_lost_before_the_store_confirms_its_ownership) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    serve_store();
+    ASSERT_EQ(take_starts().size(), 1U);
+    connect_agent(12, "other");
+    advance_time(milliseconds{1});
+    entry_.link_closed(agent_link);
+    introduce_agent(13, "agent", 2);
+    advance_time(milliseconds{30});
+    EXPECT_TRUE(take_starts(12).empty());
+    EXPECT_TRUE(take_starts(13).empty());
+    serve_store();
+    EXPECT_EQ(take_starts(12).size() + take_starts(13).size(), 1U);
+}
+
+// Guards against waiting for the store when only the connection to an agent was lost, during an outage.
+TEST_F(entry_core_test, starts_durable_runs_at_a_reconnected_agent_while_the_store_is_away) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    serve_store();
+    const std::vector<run_ref> first = take_starts();
+    ASSERT_EQ(first.size(), 1U);
+    report(report_of(first[0], run_state::failed));
+    take_starts();
+    entry_.link_closed(agent_link);
+    constexpr link_number link = 12;
+    introduce_agent(link, "agent", 1);
+    advance_time(milliseconds{30});
+    EXPECT_EQ(take_starts(link).size(), 1U);
+}
+
 // Guards against starting a task of an adopted job while an agent may still run it: every recorded agent must
 // first send its inventory for the previous session.
 TEST_F(entry_core_test, starts_an_adopted_job_after_every_recorded_agent_replies) {
@@ -958,6 +1020,35 @@
     EXPECT_EQ(take_starts().size(), 1U);
 }
 
+// Guards against two owners that both start the tasks of a job: an agent that has restarted after the
+// adoption was settled does not know that the former owner is deposed.
+TEST_F(adoption_test, tells_a_restarted_agent_that_the_former_owner_is_deposed) {
+    entry_record record = self();
+    record.session = previous_session_;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.max_attempts = 2;
+    open.plan = job("a", true, 1).plan;
+    store_.put(open_job_key(previous_session_, "a"), open);
+    store_.put(job_key("a"), job_status{});
+    store_.put(agent_key("agent"), agent_record{"agent", "zone"});
+    prepare();
+    connect_agent();
+    entry_.received(agent_link, run_inventory{previous_session_, {}, 0}, now_, wall_);
+    advance_time(milliseconds{30});
+    ASSERT_EQ(take_starts().size(), 1U);
+    entry_.link_closed(agent_link);
+    constexpr link_number link = 12;
+    introduce_agent(link, "agent", 2);
+    collect();
+    const std::vector<owner_succession> told = take_messages<owner_succession>(link);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].former, previous_session_);
+    EXPECT_EQ(told[0].successor, entry_.session());
+}
+
 // Guards against losing a job that is resubmitted during its adoption. In the soak with seed 46 the adoption
 // skipped the job because its acceptance was in flight, and the acceptance then dropped the job because it
 // found the record of the previous session.
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -126,6 +126,24 @@
     EXPECT_EQ(session_manager_.take_adopted().size(), 1U);
 }
 
+// Guards against an entry that takes itself for the owner of its jobs after an answer of the store that does
+// not prove it.
+TEST_F(session_manager_test, confirms_its_ownership_only_by_its_entry_record) {
+    answer_calls();
+    const time_point claimed = now_;
+    EXPECT_EQ(session_manager_.confirmed_at(), claimed);
+    advance_time(milliseconds{3000});
+    EXPECT_EQ(session_manager_.confirmed_at(), claimed);
+    is_store_up_ = false;
+    session_manager_.request_confirmation();
+    advance_time(milliseconds{500});
+    EXPECT_EQ(session_manager_.confirmed_at(), claimed);
+    is_store_up_ = true;
+    const time_point back = now_;
+    advance_time(milliseconds{200});
+    EXPECT_GT(session_manager_.confirmed_at(), back);
+}
+
 // Guards against adopting the jobs of an entry that is alive and has only lost its liveness key.
 TEST_F(session_manager_test, does_not_adopt_a_session_that_is_connected) {
     const incarnation other{"other", 9};
