Search histories of durable jobs with failing runs and series of faults

The random histories had no run that fails only sometimes, no cut of a single connection, no planned stop and no entry that is killed between a write and its answer, and knew neither LOST for jobs shown as failed nor BUDGET nor UNASKED. They now have these on request (dispatch_histories.keep_the_guarantees_of_durable_jobs_under_series_of_faults), and all histories are checked by the promise check of the soak too. The promise check counts a failed end also if it is acknowledged after the start that it forbids; a promise before was broken only if it had been acknowledged by then.

--- a/soak/promise_check.cpp
+++ b/soak/promise_check.cpp
@@ -1,6 +1,7 @@
 #include "soak/promise_check.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <string_view>
 
 namespace persimmonstile::soak {
@@ -127,8 +128,9 @@
     }
     if (job.plan.is_durable && task.is_done_acknowledged)
         report("one run", name + " begins after an end with success was acknowledged");
-    if (job.plan.is_durable && task.acknowledged_failures >= job.max_attempts)
+    if (job.plan.is_durable && count_acknowledged(task, task.failed_ends.size()) >= job.max_attempts)
         report("attempts", name + " begins after all attempts have failed");
+    task.failed_before_start.emplace_back(run.run, task.failed_ends.size());
     task.active.emplace(std::pair{backend.id, run.run}, now);
     ++task.starts;
     backend_record& room = backends_[backend.id];
@@ -177,7 +179,10 @@
         ++task.done;
         task.done_runs[{backend.id, event.run.run}] = task.starts;
     }
-    task.failed += event.final_state == run_state::failed ? 1 : 0;
+    if (event.final_state == run_state::failed) {
+        ++task.failed;
+        task.failed_ends.push_back({backend.id, backend.life, event.run.run});
+    }
 }
 
 void promise_check::noted(const backend_profile& backend, const order_backend::event& event) {
@@ -193,8 +198,29 @@
                                   " has its end with success acknowledged after a later start");
         task.is_done_acknowledged = true;
     }
-    if (event.final_state == run_state::failed)
-        ++task.acknowledged_failures;
+    if (event.final_state != run_state::failed || !found->second.plan.is_durable)
+        return;
+    const auto is_same = [&](const failed_end& end) {
+        return end.backend == backend.id && end.life == backend.life && end.run == event.run.run;
+    };
+    const auto end = std::find_if(task.failed_ends.begin(), task.failed_ends.end(), is_same);
+    if (end == task.failed_ends.end() || end->is_acknowledged)
+        return;
+    end->is_acknowledged = true;
+    const auto position = static_cast<std::size_t>(end - task.failed_ends.begin());
+    for (const auto& [run, ends_before] : task.failed_before_start) {
+        // With this end, all attempts had failed before the start.
+        if (position < ends_before && count_acknowledged(task, ends_before) == found->second.max_attempts)
+            report("attempts", name_of({event.run.task, run}) +
+                                   " began after all attempts had failed; the end of run " +
+                                   std::to_string(event.run.run) + " is acknowledged now");
+    }
+}
+
+std::size_t promise_check::count_acknowledged(const task_record& task, std::size_t first_ends) {
+    const auto last = task.failed_ends.begin() + static_cast<std::ptrdiff_t>(first_ends);
+    return static_cast<std::size_t>(std::count_if(task.failed_ends.begin(), last,
+                                                  [](const failed_end& end) { return end.is_acknowledged; }));
 }
 
 void promise_check::drain_acknowledged(const std::string& backend, time_point now) {
--- a/soak/promise_check.h
+++ b/soak/promise_check.h
@@ -71,6 +71,14 @@
     std::size_t jobs() const { return jobs_.size(); }
 
 private:
+    // A run that ended failed.
+    struct failed_end {
+        std::string backend;
+        std::uint64_t life = 0;
+        run_number run = 0;
+        bool is_acknowledged = false;
+    };
+
     struct task_record {
         // Where runs of the task are active, with their numbers, and since when.
         std::map<std::pair<std::string, run_number>, time_point> active;
@@ -79,7 +87,11 @@
         std::uint32_t starts = 0;
         std::uint32_t done = 0;
         std::uint32_t failed = 0;
-        std::uint32_t acknowledged_failures = 0;
+        // Runs that ended failed, by backend server and its life, in the order of their ends, and how many of
+        // them came before each start. An end counts once it is acknowledged, also if that is after the
+        // start.
+        std::vector<failed_end> failed_ends;
+        std::vector<std::pair<run_number, std::size_t>> failed_before_start;
         bool is_done_acknowledged = false;
     };
 
@@ -104,6 +116,7 @@
     void started(const backend_profile& backend, const run_ref& run, time_point now, bool is_late);
     void ended(const backend_profile& backend, const order_backend::event& event);
     void noted(const backend_profile& backend, const order_backend::event& event);
+    static std::size_t count_acknowledged(const task_record& task, std::size_t first_ends);
     void check_bounds(const backend_profile& backend, const job_record& job, const std::string& name,
                       time_point now);
     bool is_calm(time_point now) const;
--- a/standins/order_backend.cpp
+++ b/standins/order_backend.cpp
@@ -31,6 +31,11 @@
     has_lease_ = true;
 }
 
+bool order_backend::is_failing(const run_ref& run) const {
+    const auto found = failing_runs_.find(run.task);
+    return failing_.contains(run.task) || (found != failing_runs_.end() && found->second(run.run));
+}
+
 void order_backend::end(const run_ref& run, run_state final_state, time_point now) {
     active_.erase(run);
     run_number& highest = highest_[run.task];
@@ -46,7 +51,7 @@
             state.done += std::chrono::duration<double, std::milli>{now - state.updated}.count() / slowness_;
         state.updated = now;
         if (state.done >= static_cast<double>(work_of(run.task).count()))
-            ended.emplace_back(run, failing_.contains(run.task) ? run_state::failed : run_state::done);
+            ended.emplace_back(run, is_failing(run) ? run_state::failed : run_state::done);
     }
     for (const auto& [run, final_state] : ended)
         end(run, final_state, now);
--- a/standins/order_backend.h
+++ b/standins/order_backend.h
@@ -8,10 +8,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonstile {
@@ -51,6 +53,10 @@
     void set_work(const task_ref& task, milliseconds work) { work_[task] = work; }
     // Tasks that fail once they have done their work.
     void set_failing(const task_ref& task) { failing_.insert(task); }
+    // Runs of the task for which is_failing is true fail once they have done their work.
+    void set_failing_runs(const task_ref& task, std::function<bool(run_number run)> is_failing) {
+        failing_runs_[task] = std::move(is_failing);
+    }
     // Tasks make no progress.
     void set_hanging(bool hangs) { hangs_ = hangs; }
     // Run time in units of the work.
@@ -77,6 +83,7 @@
     backend_reply hold(const backend_order& order, const hold_order& action, time_point now);
     void extend_lease(std::int64_t until_ms, time_point now);
     void end(const run_ref& run, run_state final_state, time_point now);
+    bool is_failing(const run_ref& run) const;
     milliseconds work_of(const task_ref& task) const;
 
     backend_profile profile_;
@@ -95,6 +102,7 @@
     std::uint64_t sequence_ = 0;
     std::map<task_ref, milliseconds> work_;
     std::set<task_ref> failing_;
+    std::map<task_ref, std::function<bool(run_number run)>> failing_runs_;
     bool hangs_ = false;
     double slowness_ = 1;
     std::vector<event> events_;
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -3,6 +3,7 @@
 #include "coordination/agent_core.h"
 #include "coordination/entry_core.h"
 #include "coordination/store_keys.h"
+#include "soak/promise_check.h"
 #include "standins/kv_model.h"
 #include "standins/order_backend.h"
 
@@ -66,6 +67,13 @@
         // Number of random faults that concern the identity of backend servers: replacements under another id
         // or life, and messages that were delayed or sent by others.
         int identity_faults = 0;
+        // Number of random faults of the kinds that concern single connections, planned stops, series of
+        // restarts, a slow store, and an entry that is killed right after a write.
+        int series_faults = 0;
+        // Fraction of the durable jobs with tasks of which some runs fail, and with tasks that work for
+        // seconds.
+        double failing_fraction = 0;
+        double long_fraction = 0;
         injected_defect defect = injected_defect::none;
     };
 
@@ -91,6 +99,11 @@
         for (int i = 0; i < options_.identity_faults; ++i)
             schedule(warm_up + milliseconds{random_below(submission_period.count())},
                      [this] { random_identity_fault(); });
+        for (int i = 0; i < options_.series_faults; ++i)
+            schedule(warm_up + milliseconds{random_below(submission_period.count())},
+                     [this] { random_series_fault(); });
+        // The promises that are bound to a time are not checked.
+        promises_.fault_begun();
         while (!events_.empty() && now_ < time_point{total_duration} && violations_.size() < 5) {
             const event next = events_.top();
             events_.pop();
@@ -123,6 +136,7 @@
         if (!node.core)
             return;
         log_event("entry " + node.name + " is killed");
+        harm_until(now_ + downtime);
         node.core.reset();
         ++node.life;
         close_links(node.name);
@@ -134,6 +148,7 @@
         if (!node.core)
             return;
         log_event("agent " + node.name + " is killed");
+        harm_until(now_ + downtime);
         node.core.reset();
         ++node.life;
         close_links(node.name);
@@ -141,15 +156,37 @@
     }
     void freeze(const std::string& name, milliseconds duration) {
         log_event(name + " is frozen");
+        harm_until(now_ + duration);
         frozen_until_[name] = std::max(frozen_until_[name], now_ + duration);
     }
     void isolate(const std::string& name, milliseconds duration) {
         log_event(name + " is isolated from the network");
+        harm_until(now_ + duration);
         isolated_until_[name] = std::max(isolated_until_[name], now_ + duration);
     }
+    // Cuts the connections between two processes, or between an entry and the store. Messages from the second
+    // to the first may go on.
+    void cut(const std::string& from, const std::string& to, bool is_one_way, milliseconds duration) {
+        log_event("connection from " + from + " to " + to + " is cut" + (is_one_way ? " one way" : ""));
+        cut_until_[{from, to}] = std::max(cut_until_[{from, to}], now_ + duration);
+        if (!is_one_way)
+            cut_until_[{to, from}] = std::max(cut_until_[{to, from}], now_ + duration);
+        harm_until(now_ + duration);
+    }
+    // Stops an entry as planned and starts it again when it has left, or after grace.
+    void stop_entry(int index) {
+        entry_node& node = *entries_[index];
+        if (!node.core || node.core->is_shutting_down())
+            return;
+        log_event("entry " + node.name + " is stopped as planned");
+        node.core->begin_shutdown(now_ + milliseconds{2200}, now_ + milliseconds{3000}, now_);
+        flush(node);
+        await_stop(index, node.life, now_ + milliseconds{6000});
+    }
     // Makes the store refuse every call of one entry, or of all entries if the name is "all".
     void refuse_store(const std::string& name, milliseconds duration) {
         log_event("store refuses calls of " + name);
+        harm_until(now_ + duration);
         store_refuses_until_[name] = std::max(store_refuses_until_[name], now_ + duration);
     }
     void revoke_leases() {
@@ -280,9 +317,11 @@
     struct caller_job {
         bool is_durable = false;
         std::uint32_t tasks = 1;
+        milliseconds estimate{100};
         int submissions = 0;
         bool is_accepted = false;
         bool is_cancelled = false;
+        std::optional<time_point> cancelled_at;
         bool has_ended = false;
         // Submissions that were not refused. The job may start only while there is one.
         int unrefused_submissions = 0;
@@ -325,6 +364,28 @@
     }
     bool is_frozen(const std::string& name) { return now_ < frozen_until_[name]; }
     bool is_isolated(const std::string& name) { return now_ < isolated_until_[name]; }
+    bool is_cut(const std::string& from, const std::string& to) {
+        const auto found = cut_until_.find({from, to});
+        return found != cut_until_.end() && now_ < found->second;
+    }
+    bool is_cut_either_way(const std::string& one, const std::string& other) {
+        return is_cut(one, other) || is_cut(other, one);
+    }
+    void harm_until(time_point end) { harmed_until_ = std::max(harmed_until_, end); }
+
+    void await_stop(int index, int life, time_point limit) {
+        entry_node& node = *entries_[index];
+        if (node.life != life || !node.core)
+            return;
+        if (!node.core->has_left() && now_ < limit) {
+            schedule(since_start() + milliseconds{50},
+                     [this, index, life, limit] { await_stop(index, life, limit); });
+            return;
+        }
+        node.core->answer_waiting_callers();
+        flush(node);
+        kill_entry(index, milliseconds{100 + random_below(500)});
+    }
 
     // ---- Nodes ----
 
@@ -381,6 +442,8 @@
             backend->set_work(task, work);
         for (const task_ref& task : failing_tasks_)
             backend->set_failing(task);
+        for (const auto& [task, pattern] : failing_patterns_)
+            set_pattern(*backend, task, pattern);
         return backend;
     }
 
@@ -421,6 +484,12 @@
         }
     }
 
+    int index_of_entry(const std::string& name) const {
+        const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                        [&](const auto& node) { return node->name == name; });
+        return static_cast<int>(found - entries_.begin());
+    }
+
     entry_node* find_entry(const std::string& name) {
         for (const auto& node : entries_) {
             if (node->name == name)
@@ -460,6 +529,7 @@
                 flush(*node);
             }
         }
+        check_cancelled_runs();
         dial();
         close_silent_links();
         schedule(since_start() + tick_interval, [this] { tick(); });
@@ -490,7 +560,8 @@
 
     void dial(const std::string& dialer, const std::string& target) {
         const bool can_connect = is_up(dialer) && is_up(target) && !is_isolated(dialer) &&
-                                 !is_isolated(target) && !is_frozen(dialer) && !is_frozen(target);
+                                 !is_isolated(target) && !is_frozen(dialer) && !is_frozen(target) &&
+                                 !is_cut_either_way(dialer, target);
         if (!can_connect || find_link(dialer, target) != nullptr)
             return;
         auto link = std::make_shared<connection>();
@@ -549,7 +620,8 @@
         const std::vector<std::shared_ptr<connection>> links = links_;
         for (const auto& link : links) {
             const bool is_unreachable = is_isolated(link->dialer) || is_isolated(link->target) ||
-                                        is_frozen(link->dialer) || is_frozen(link->target);
+                                        is_frozen(link->dialer) || is_frozen(link->target) ||
+                                        is_cut_either_way(link->dialer, link->target);
             if (!is_unreachable)
                 link->last_reachable = now_;
             else if (now_ - link->last_reachable > link_silence_timeout)
@@ -583,7 +655,7 @@
                 const work_message& message) {
         if (!link->is_open)
             return;
-        if (is_isolated(from) || is_isolated(to) || is_frozen(to)) {
+        if (is_isolated(from) || is_isolated(to) || is_frozen(to) || is_cut(from, to)) {
             schedule(since_start() + milliseconds{5},
                      [this, link, from, to, message] { arrive(link, from, to, message); });
             return;
@@ -699,7 +771,7 @@
             store_answered(name, life, id, reply);
         };
         const milliseconds deadline = since_start() + request.timeout;
-        if (is_isolated(name) || now_ < store_silent_until_) {
+        if (is_isolated(name) || is_cut(name, "store") || now_ < store_silent_until_) {
             schedule(deadline, [answer] { answer(store_failure{"no answer", true}); });
             return;
         }
@@ -714,9 +786,16 @@
             schedule(deadline, [answer] { answer(store_failure{"no answer", true}); });
             return;
         }
-        schedule(
-            since_start() + milliseconds{2 + random_below(4)},
-            [this, call = request.call, answer, deadline] { perform_store_call(call, answer, deadline); });
+        const milliseconds delay =
+            now_ < store_slow_until_ ? milliseconds{random_below(120)} : milliseconds{0};
+        schedule(since_start() + delay + milliseconds{2 + random_below(4)},
+                 [this, name, call = request.call, answer, deadline] {
+                     perform_store_call(call, answer, deadline);
+                     if (name == killed_at_write_ && std::holds_alternative<store_write>(call)) {
+                         killed_at_write_.clear();
+                         kill_entry(index_of_entry(name), milliseconds{100 + random_below(1500)});
+                     }
+                 });
     }
 
     void perform_store_call(const store_call& call, const std::function<void(const store_reply&)>& answer,
@@ -880,6 +959,7 @@
 
     void process_backend_events(agent_node& node, order_backend& backend) {
         for (const order_backend::event& backend_event : backend.take_events()) {
+            check_promises(backend, backend_event);
             if (backend_event.what == order_backend::event::kind::started)
                 check_start(node, backend, backend_event.run);
             else if (backend_event.what == order_backend::event::kind::ended)
@@ -891,6 +971,30 @@
 
     // ---- Guarantees ----
 
+    void check_promises(const order_backend& backend, const order_backend::event& seen) {
+        promises_.run_event(backend.profile(), seen, false);
+        take_promise_violations();
+    }
+
+    void take_promise_violations() {
+        for (; known_promise_violations_ < promises_.violations().size(); ++known_promise_violations_)
+            add_violation(promises_.violations()[known_promise_violations_]);
+    }
+
+    // A run of a cancelled job is gone within the bound once nothing has been harmed for some time.
+    void check_cancelled_runs() {
+        constexpr milliseconds contact_time{3000};
+        constexpr milliseconds cancel_time{3050};
+        for (const auto& [task, run] : running_) {
+            const caller_job& job = jobs_[task.job];
+            const bool is_overdue =
+                job.cancelled_at &&
+                now_ > std::max(*job.cancelled_at, harmed_until_ + contact_time) + cancel_time;
+            if (is_overdue && reported_cancelled_runs_.insert(task).second)
+                add_violation("a run goes on although its job was cancelled: " + task_text({task, run.run}));
+        }
+    }
+
     void check_start(agent_node& node, const order_backend& backend, const run_ref& run) {
         ++starts_;
         const std::string task = task_text(run);
@@ -972,9 +1076,39 @@
             if (number % 37 == 5)
                 node->backend->set_failing({job_name(number), 0, 0, 0});
         }
+        if (job.is_durable && options_.series_faults > 0)
+            vary_runs(number, job.tasks);
         send_job(job_name(number), static_cast<int>(random_below(options_.entries)));
     }
 
+    // Makes some runs of the job fail, and some of its tasks work for seconds.
+    void vary_runs(int number, std::uint32_t tasks) {
+        const bool is_failing = chance(options_.failing_fraction);
+        const bool is_long = chance(options_.long_fraction);
+        const milliseconds work{500 + random_below(2500)};
+        if (is_long)
+            jobs_[job_name(number)].estimate = work;
+        for (task_index i = 0; i < tasks; ++i) {
+            const task_ref task{job_name(number), 0, 0, i};
+            const std::int64_t pattern = random_below(8);
+            if (is_long)
+                work_[task] = work;
+            // One run in three fails, at places that differ by task.
+            if (is_failing)
+                failing_patterns_[task] = pattern;
+            for (const auto& node : agents_) {
+                node->backend->set_work(task, work_[task]);
+                if (is_failing)
+                    set_pattern(*node->backend, task, pattern);
+            }
+        }
+    }
+
+    static void set_pattern(order_backend& backend, const task_ref& task, std::int64_t pattern) {
+        backend.set_failing_runs(
+            task, [pattern](run_number run) { return (run * 7 + static_cast<run_number>(pattern)) % 5 < 2; });
+    }
+
     void send_job(const std::string& name, int entry) {
         caller_job& job = jobs_[name];
         entry_node& node = *entries_[entry];
@@ -995,9 +1129,10 @@
         job_step step;
         step.task_count = job.tasks;
         step.task_needs = {task_millicores, 64, 0};
-        step.estimate_ms = 100;
+        step.estimate_ms = job.estimate.count();
         request.plan.steps.push_back(step);
         request.plan.is_durable = job.is_durable;
+        promises_.submitted(name, request.plan, max_attempts);
         log_event("caller sends " + name + " to " + node.name + (job.is_durable ? " (durable)" : ""));
         const caller_token token = request.token;
         // An entry needs unique tokens only for its own callers. These tokens are unique over all entries.
@@ -1094,6 +1229,8 @@
         }
         if (call.is_cancellation) {
             job.is_cancelled = true;
+            if (!job.cancelled_at)
+                job.cancelled_at = now_;
             return;
         }
         if (is_final(reply.state))
@@ -1112,6 +1249,9 @@
 
     void record_final_state(const std::string& name, job_state state) {
         caller_job& job = jobs_[name];
+        if (job.is_durable)
+            promises_.shown(name, state, now_);
+        take_promise_violations();
         job.has_ended = true;
         if (state == job_state::completed) {
             ++completed_;
@@ -1138,6 +1278,8 @@
             return;
         }
         const caller_token token = ++last_token_;
+        if (is_cancellation)
+            promises_.cancel_sent(name);
         calls_[token] = {node.name, node.life, name, !is_cancellation, is_cancellation};
         const time_point answer_by = now_ + milliseconds{1000};
         deliver_call(node.name, node.life, [this, token, name, answer_by, is_cancellation](entry_core& core) {
@@ -1198,6 +1340,64 @@
         }
     }
 
+    void random_series_fault() {
+        const int entry_index = static_cast<int>(random_below(options_.entries));
+        const int other_index = static_cast<int>(random_below(options_.entries));
+        const int agent_index = static_cast<int>(random_below(options_.agents));
+        const milliseconds duration{300 + random_below(5500)};
+        const std::string& name = entry_name(entry_index);
+        const std::string& agent = agent_name(agent_index);
+        switch (random_below(9)) {
+        case 0:
+            cut(name, agent, chance(0.3), duration);
+            return;
+        case 1:
+            for (const auto& node : agents_)
+                cut(name, node->name, false, duration);
+            return;
+        case 2:
+            for (const auto& node : entries_)
+                cut(agent, node->name, false, duration);
+            return;
+        case 3:
+            // The entry reaches its agents only.
+            for (const auto& node : entries_) {
+                if (node->name != name)
+                    cut(name, node->name, false, duration);
+            }
+            cut(name, "store", true, duration);
+            if (chance(0.5))
+                schedule(since_start() + milliseconds{random_below(5000)},
+                         [this, agent_index] { kill_agent(agent_index, milliseconds{random_below(800)}); });
+            return;
+        case 4:
+            cut(name, "store", true, duration);
+            return;
+        case 5:
+            stop_entry(entry_index);
+            return;
+        case 6:
+            for (int i = 0; i < options_.entries; ++i)
+                schedule(since_start() + milliseconds{i * (500 + random_below(3500))},
+                         [this, i] { stop_entry(i); });
+            if (chance(0.5))
+                store_slow_until_ = now_ + duration;
+            return;
+        case 7:
+            log_event("store is slow");
+            store_slow_until_ = now_ + duration;
+            harm_until(store_slow_until_);
+            return;
+        default:
+            killed_at_write_ = name;
+            if (chance(0.3) && other_index != entry_index)
+                schedule(since_start() + milliseconds{random_below(3000)}, [this, other_index] {
+                    kill_entry(other_index, milliseconds{100 + random_below(4000)});
+                });
+            return;
+        }
+    }
+
     void random_identity_fault() {
         const int index = static_cast<int>(random_below(options_.agents));
         const backend_profile present = agents_[index]->backend->profile();
@@ -1270,6 +1470,12 @@
     std::map<std::string, time_point> backend_down_until_;
     std::map<std::string, time_point> store_refuses_until_;
     time_point store_silent_until_{};
+    time_point store_slow_until_{};
+    // Directed connections between two names; "store" stands for the store.
+    std::map<std::pair<std::string, std::string>, time_point> cut_until_;
+    time_point harmed_until_{};
+    // The entry that is killed when the store has done its next write.
+    std::string killed_at_write_;
 
     std::map<std::string, caller_job> jobs_;
     std::map<caller_token, open_call> calls_;
@@ -1278,6 +1484,7 @@
     // Work of the submitted tasks, for backend servers that start later.
     std::map<task_ref, milliseconds> work_;
     std::set<task_ref> failing_tasks_;
+    std::map<task_ref, std::int64_t> failing_patterns_;
     // Identities that were at the address of each agent before.
     std::map<int, std::vector<backend_profile>> former_profiles_;
     int last_new_id_ = 0;
@@ -1287,6 +1494,9 @@
     // Tasks whose successful end was acknowledged before the lease expired under which the end was listed.
     std::set<task_ref> acknowledged_tasks_;
     std::set<std::string> reported_completed_;
+    soak::promise_check promises_;
+    std::size_t known_promise_violations_ = 0;
+    std::set<task_ref> reported_cancelled_runs_;
     std::size_t starts_ = 0;
     std::size_t completed_ = 0;
     std::size_t refused_ = 0;
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -126,6 +126,17 @@
     }
 }
 
+// Guards against violations that need durable jobs with failing and long runs together with cut connections,
+// planned stops, series of restarts, or an entry that is killed right after a write.
+TEST(dispatch_histories, keep_the_guarantees_of_durable_jobs_under_series_of_faults) {
+    dispatch_simulation::options chosen;
+    chosen.durable_fraction = 0.9;
+    chosen.series_faults = 6;
+    chosen.failing_fraction = 0.5;
+    chosen.long_fraction = 0.3;
+    run_histories(chosen);
+}
+
 // Guards against a durable job that never ends: an entry adopts a session at the moment when it is adopted
 // itself, and its successor does not know of the first adoption. Found with this seed.
 TEST(dispatch_histories, a_successor_adopts_what_its_predecessor_had_adopted) {
--- a/tests/promise_check_test.cpp
+++ b/tests/promise_check_test.cpp
@@ -147,6 +147,19 @@
     expect_broken("attempts");
 }
 
+// The ends are acknowledged after the start.
+TEST_F(promises, more_attempts_than_allowed_are_seen_late) {
+    for (const run_number run : {1, 2}) {
+        start(0, run, backend_);
+        end(0, run, backend_, run_state::failed);
+    }
+    start(0, 3, backend_);
+    log_job_end(0, 1, run_state::failed);
+    EXPECT_TRUE(check_.violations().empty());
+    log_job_end(0, 2, run_state::failed);
+    expect_broken("attempts");
+}
+
 TEST_F(promises, a_start_beyond_the_room_is_seen) {
     check_.submitted("other", plan_, 2);
     start(0, 1, backend_);
