Acknowledge only the ends that the stored progress contains

An end that is reported at the time at which the progress is written, and after it, was acknowledged with that record although it is not in it. If the entry then dies, the end is lost, and the task starts again.

Cause: the entry told the ends in the record from later ones by the time of their reports. Equal times are unlikely with the clock of the daemons, and were not seen there.

Change: the job remembers how many ends the record contains.

Result: entry_core_test.acknowledges_only_the_ends_that_the_record_contains fails before and passes now.

--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -2,6 +2,7 @@
 #include "coordination/store_keys.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace persimmonstile {
@@ -62,7 +63,7 @@
             continue;
         job.is_progress_in_flight = true;
         job.record = job_ledger::record_with_progress(job);
-        job.progress_created_at = now;
+        job.recorded_ends = job.unacknowledged_ends.size();
         commits_.add({id, progress_commit{job.record_session, job.record, job.revision}}, now);
     }
 }
@@ -96,14 +97,11 @@
     }
     job->revision = result.revision;
     // The record does not contain ends that were reported after its creation. The next record will.
-    std::vector<unacknowledged_end> unrecorded_ends;
-    for (const unacknowledged_end& end : job->unacknowledged_ends) {
-        if (end.reported_at <= job->progress_created_at)
-            acknowledge(end.agent, end.backend_life, end.number);
-        else
-            unrecorded_ends.push_back(end);
-    }
-    job->unacknowledged_ends = std::move(unrecorded_ends);
+    const auto last = job->unacknowledged_ends.begin() + static_cast<std::ptrdiff_t>(job->recorded_ends);
+    std::for_each(job->unacknowledged_ends.begin(), last, [this](const unacknowledged_end& end) {
+        acknowledge(end.agent, end.backend_life, end.number);
+    });
+    job->unacknowledged_ends.erase(job->unacknowledged_ends.begin(), last);
 }
 
 void entry_core::process_acceptance_result(const commit_result& result, time_point now) {
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -7,6 +7,7 @@
 #include "state/time.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -71,9 +72,9 @@
     // Occurrences that have not ended, including those that have not begun.
     std::uint32_t occurrences_left = 0;
     std::vector<unacknowledged_end> unacknowledged_ends;
-    // A record with progress is being written. progress_created_at is the time at which it was created.
+    // A record with progress is being written. It contains the first recorded_ends of unacknowledged_ends.
     bool is_progress_in_flight = false;
-    time_point progress_created_at{};
+    std::size_t recorded_ends = 0;
     // No record with progress is written before this time, because the store did not take the last one.
     time_point next_progress_at{};
     // When the job arrived at this entry. For an adopted job, when it was first accepted.
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -625,6 +625,31 @@
     EXPECT_EQ(stops[0].runs, runs);
 }
 
+// Guards against an end that is acknowledged but not recorded, and so lost with the entry: it was reported at
+// the moment at which the record was written.
+TEST_F(entry_core_test, acknowledges_only_the_ends_that_the_record_contains) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 3));
+    serve_store();
+    const std::vector<run_ref> runs = take_starts();
+    ASSERT_EQ(runs.size(), 3U);
+    const auto report_done = [&](std::size_t index) {
+        run_report done = report_of(runs[index], run_state::done);
+        done.end_number = index + 1;
+        done.backend_life = 1000;
+        done.awaits_record = true;
+        report(done);
+    };
+    report_done(0);
+    advance_time(entry_limits{}.progress_delay);
+    report_done(1);
+    serve_store();
+    const std::vector<recorded_run_ends> recorded = take_messages<recorded_run_ends>();
+    ASSERT_EQ(recorded.size(), 1U);
+    EXPECT_EQ(recorded[0].end_numbers, std::vector<std::uint64_t>{1});
+}
+
 // Guards against an end that the owner of a job never gets, and that holds up all later ends of its backend
 // server: an entry to which the job was resubmitted has claimed the run, and then does not accept the job.
 // Found by the histories with series of faults, seed 689.
