--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -137,6 +137,23 @@
     run_histories(chosen);
 }
 
+// Guards against a task that is stopped as stalled and started again for ever, because it works for far
+// longer than its caller estimated and a percent of its progress takes longer than the bound.
+TEST(dispatch_histories, complete_a_job_that_works_far_longer_than_its_estimate) {
+    dispatch_simulation::options chosen;
+    chosen.agents = 2;
+    chosen.jobs = 0;
+    chosen.faults = 0;
+    dispatch_simulation simulation{chosen};
+    simulation.schedule(milliseconds{4000}, [&] {
+        simulation.set_work(1, 0, milliseconds{20000});
+        simulation.submit(1, true, 0, 1);
+    });
+    const std::vector<std::string> violations = simulation.run();
+    EXPECT_TRUE(violations.empty()) << join_lines(violations) << simulation.history();
+    EXPECT_EQ(simulation.completed(), 1U);
+}
+
 // Guards against a durable job that never ends: an entry adopts a session at the moment when it is adopted
 // itself, and its successor does not know of the first adoption. Found with this seed.
 TEST(dispatch_histories, a_successor_adopts_what_its_predecessor_had_adopted) {
