Review: jobs with checkpoints never end after a crash of their executor

Cause: the stall check stops a run while it is restored from its checkpoint, which takes longer than its bound. Done: a case that crashes one executor once, with a stand-in whose tasks write checkpoints; it becomes case 8.

--- a/review/harness-2/targets.cmake
+++ b/review/harness-2/targets.cmake
@@ -3,6 +3,7 @@
 function(add_review_programs)
     set(folder ${CMAKE_SOURCE_DIR}/review)
     add_library(review_world STATIC
+        ${folder}/harness-2/saving_executor.cpp
         ${folder}/harness-2/world.cpp
         ${CMAKE_SOURCE_DIR}/soak/child_process.cpp
         ${CMAKE_SOURCE_DIR}/soak/deployment.cpp
