--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -221,9 +221,11 @@
         return;
     }
     ledger_job* known = ledger_.find(job);
-    if (known == nullptr || known->phase == job_phase::accepting)
+    if (known == nullptr || known->phase == job_phase::accepting) {
+        record_decision("looking up a job that is to be cancelled", job,
+                        {{"is_being_accepted", std::int64_t{known != nullptr}}});
         locator_.look_up(token, job, true, answer_by - reply_margin, now);
-    else
+    } else
         cancel_own_job(*known, token, answer_by - reply_margin, now);
 }
 
