Tell no caller the end of a job before it is stored

A caller that asked for a job right after another entry had adopted it, or that submitted a job again while its end was being written, was told that the job is completed although the store did not have that end yet. If the entry lost its session then, the tasks were run again after the answer.

Cause: the ledger holds the decided end while it is being written; three answers took it from there (the lookup of a job that turns out to belong to this entry, a resubmission, and the outcome of an acceptance that an adoption overtook).

All answers now use one function, which tells an end only when it is stored.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -57,10 +57,10 @@
             ledger_.find(request.job)->answer_by =
                 std::max(known->answer_by, request.answer_by - reply_margin);
         } else if (known->phase == job_phase::accepting)
-            acceptance_waiters_.add(request.job, {request.token, request.answer_by - reply_margin,
-                                                  caller_request::submission});
+            acceptance_waiters_.add(
+                request.job, {request.token, request.answer_by - reply_margin, caller_request::submission});
         else
-            reply(request.token, caller_reply_kind::accepted, known->state);
+            reply(request.token, caller_reply_kind::accepted, known->shown_state());
         return;
     }
     // A non-durable job that arrives on a connection that is still open can end before the process exits.
@@ -295,7 +295,7 @@
     else if (known != nullptr && lookup.is_cancellation)
         cancel_own_job(*known, {lookup.token, lookup.answer_by, request}, now);
     else if (known != nullptr)
-        reply(lookup.token, caller_reply_kind::state, known->state);
+        reply(lookup.token, caller_reply_kind::state, known->shown_state());
     else if (lookup.is_cancellation)
         // The job may belong to a former session whose jobs have not been read yet.
         reply(lookup.token, caller_reply_kind::uncertain);
@@ -312,8 +312,7 @@
         if (caller.request == caller_request::cancellation || job == nullptr || !job->is_durable())
             reply(caller.token, caller_reply_kind::uncertain);
         else
-            reply(caller.token, caller_reply_kind::state,
-                  job->has_started ? job_state::running : job_state::queued);
+            reply(caller.token, caller_reply_kind::state, job->shown_state());
     }
 }
 
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -116,8 +116,7 @@
         if (message.is_cancellation && known->phase == job_phase::open)
             end_job(*known, job_state::cancelled, now);
         answer.is_known = true;
-        // The end is reported only once it is in the store.
-        answer.state = known->phase == job_phase::ending ? job_state::running : known->state;
+        answer.state = known->shown_state();
     }
     output_.messages.emplace_back(link, answer);
 }
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -136,7 +136,7 @@
         if (job == nullptr && ended == nullptr)
             answer.kind = caller_reply_kind::uncertain;
         else
-            answer.state = job != nullptr ? job->state : ended->state;
+            answer.state = job != nullptr ? job->shown_state() : ended->state;
         return answer;
     }
     switch (result.outcome) {
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -85,6 +85,12 @@
 
     bool is_durable() const { return record->plan.is_durable; }
     const job_step& step(std::uint32_t number) const { return record->plan.steps[number]; }
+    // The state that callers are told. An end is told only after it is in the store.
+    job_state shown_state() const {
+        if (phase != job_phase::ending)
+            return state;
+        return has_started ? job_state::running : job_state::queued;
+    }
 };
 
 } // namespace persimmonstile
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -271,6 +271,20 @@
     EXPECT_EQ(recorded[0].end_numbers, std::vector<std::uint64_t>{4});
 }
 
+// Guards against a resubmission that is told the end of its job before the store has recorded it. If the
+// entry stops then, the tasks run again. Found by the histories in which callers ask at any time, seed 335.
+TEST_F(entry_core_test, tells_a_resubmission_no_end_that_is_not_recorded) {
+    prepare();
+    connect_agent();
+    submit(job("a", true, 1));
+    serve_store();
+    report(report_of(take_starts().at(0), run_state::done));
+    const caller_token resubmitted = submit(job("a", true, 1));
+    ASSERT_TRUE(reply_to(resubmitted));
+    EXPECT_EQ(reply_to(resubmitted)->kind, caller_reply_kind::accepted);
+    EXPECT_FALSE(is_final(reply_to(resubmitted)->state));
+}
+
 // Guards against ends that are recorded only when a long job ends. If all processes were lost before that,
 // the tasks would run a second time.
 TEST_F(entry_core_test, records_the_progress_of_a_long_job) {
@@ -1011,6 +1025,38 @@
     EXPECT_EQ(entry_.open_jobs(), 0U);
 }
 
+// Guards against an end that is shown before the store has recorded it: the entry has asked the store for the
+// job, adopts it before the answer, and ends it.
+TEST_F(adoption_test, shows_no_end_of_an_adopted_job_that_is_not_recorded) {
+    entry_record record = self();
+    record.session = previous_session_;
+    store_.put(entry_key("entry"), record);
+    open_job open;
+    open.queue = "queue";
+    open.service = "service";
+    open.plan = job("a", true, 1).plan;
+    open.progress.push_back({0, 0, 0, true, 0, {}, {}});
+    store_.put(open_job_key(previous_session_, "a"), open);
+    store_.put(job_key("a"), job_status{job_state::queued, previous_session_, 0});
+    const auto is_write_or_read = [](const store_call& call) {
+        const auto* write = std::get_if<store_write>(&call);
+        return std::holds_alternative<store_read>(call) || (write != nullptr && !write->removals.empty());
+    };
+    prepare([](const store_call& call) { return std::holds_alternative<store_list>(call); });
+    entry_.query_state(77, "a", now_ + milliseconds{1000}, now_);
+    serve_store(is_write_or_read);
+    ASSERT_FALSE(reply_to(77));
+    serve_store([&](const store_call& call) {
+        return is_write_or_read(call) && !std::holds_alternative<store_read>(call);
+    });
+    ASSERT_TRUE(reply_to(77));
+    EXPECT_FALSE(is_final(reply_to(77)->state));
+    serve_store();
+    const auto* status = std::get_if<job_status>(&store_.items().at(job_key("a")).value);
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->state, job_state::completed);
+}
+
 // Guards against a stopping entry that accepts jobs which it can no longer answer, and against one that
 // leaves the membership while it still serves.
 TEST_F(entry_core_test, serves_until_the_shutdown_refusal_time_and_then_leaves) {
