Show a durable job only when it is stored

A caller that asked for a durable job whose submission had got no answer was told 'queued' by the entry that was still writing it. It took the job for accepted. If the entry was killed, or gave the acceptance up, the job was gone.

Cause: a query was answered from the ledger also while the acceptance had no outcome.

The query now waits for the outcome, like a submission, and is answered from what became of it; at its deadline the answer is uncertain.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -227,6 +227,11 @@
         locator_.look_up(caller.token, job, false, caller.answer_by, now);
         return;
     }
+    if (known->phase == job_phase::accepting) {
+        // If the job were shown before it is stored, its caller would take it for accepted.
+        acceptance_waiters_.add(job, caller);
+        return;
+    }
     if (known->phase == job_phase::ending) {
         // The end is being written. After a wait of a few milliseconds the caller gets the final state.
         end_waiters_.add(
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -246,10 +246,12 @@
 TEST_F(cancellation_test, at_another_entry_makes_a_submission_fail) {
     prepare_all();
     const caller_token submitted = submit_unanswered();
+    const caller_token queried = query(writes_status);
     store_.put(job_key("a"), job_status{job_state::cancelled, peer_, 0, true});
     serve_store();
     ASSERT_EQ(kind_of_reply_to(submitted), caller_reply_kind::refused);
     EXPECT_EQ(reply_to(submitted)->reason, submit_refusal::cancelled);
+    EXPECT_EQ(kind_of_reply_to(queried), caller_reply_kind::gone);
     EXPECT_EQ(kind_of_reply_to(cancel()), caller_reply_kind::gone);
     EXPECT_TRUE(take_starts().empty());
     EXPECT_EQ(entry_.open_jobs(), 0U);
@@ -322,5 +324,17 @@
     EXPECT_EQ(stored_status(), nullptr);
 }
 
+// Guards against a caller that takes a job for accepted, because it is shown as queued, before the store has
+// it. The job is lost if its entry is killed then.
+TEST_F(cancellation_test, a_job_is_not_shown_before_the_store_has_it) {
+    prepare_all();
+    submit_unanswered();
+    const caller_token queried = query(writes_status);
+    EXPECT_FALSE(reply_to(queried));
+    serve_store();
+    ASSERT_EQ(kind_of_reply_to(queried), caller_reply_kind::state);
+    EXPECT_EQ(reply_to(queried)->state, job_state::queued);
+}
+
 } // namespace
 } // namespace persimmonstile
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -1252,6 +1252,9 @@
             record_final_state(call.job, reply.state);
         else
             schedule_follow_up(call.job, false);
+        // Who sees the state of a durable job takes the job for accepted.
+        if (job.is_durable && call.is_state_query)
+            job.is_accepted = true;
         if (reply.kind == caller_reply_kind::accepted && !job.is_accepted) {
             job.is_accepted = true;
             if (options_.defect == injected_defect::lost_record)
