Answer the lookups of callers before the process ends

An entry that was stopped as planned closed the connections of callers whose lookup or cancellation still waited for the store or for another entry, without an answer. Only callers that wait for a job of the entry itself were answered.

Test: one of cancellation_test, which fails before.

--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -283,6 +283,7 @@
                 stop_runs_of(*job);
         }
     }
+    locator_.give_up();
 }
 
 void entry_core::begin_shutdown(time_point refuse_at, time_point hand_over_at, time_point) {
--- a/coordination/job_locator.cpp
+++ b/coordination/job_locator.cpp
@@ -133,6 +133,12 @@
         abandon_withdrawal(job, now);
 }
 
+void job_locator::give_up() {
+    for (const auto& [id, pending] : lookups_)
+        reply(pending, caller_reply_kind::uncertain, job_state::unknown);
+    lookups_.clear();
+}
+
 void job_locator::process_answer(const job_lookup_reply& answer, time_point now) {
     const auto found = lookups_.find(answer.token);
     if (found == lookups_.end())
--- a/coordination/job_locator.h
+++ b/coordination/job_locator.h
@@ -45,6 +45,8 @@
     // The withdrawals have no outcome and are not attempted any more. Their lookups read the store again.
     void abandon_withdrawal(const job_id& job, time_point now);
     void abandon_withdrawals(time_point now);
+    // Answers all callers as uncertain.
+    void give_up();
     // Retries lookups that got no answer. Those past answer_by are dropped and answered as uncertain.
     void tick(time_point now);
 
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -314,6 +314,15 @@
     EXPECT_TRUE(stored_status()->is_withdrawn);
 }
 
+// Guards against a connection that ends without an answer to its cancellation when the process ends.
+TEST_F(cancellation_test, is_answered_before_the_process_ends) {
+    prepare_all();
+    const caller_token cancelled = cancel(writes_status);
+    entry_.answer_waiting_callers();
+    collect();
+    EXPECT_EQ(kind_of_reply_to(cancelled), caller_reply_kind::uncertain);
+}
+
 // Guards against withdrawn records that stay in the store for ever.
 TEST_F(cancellation_test, leaves_no_record_after_the_retention_time) {
     prepare_all();
