Cancel a job that is not durable at whichever entry has it

A caller whose job is not durable cancelled it at another entry than the one that had it, because that one was being stopped.

Cause: a cancellation looks in the store only, where such jobs never are.

An entry that has withdrawn a job in the store now asks all other entries to cancel it, and answers 410 when all that are alive have answered. One that is alive and not connected is waited for, until it loses its life sign or the caller gets 504. Who is asked refuses later submissions of the job. The former code also read the job after its end when such a request reached it.

Cost: two messages for each other entry and cancellation of a job that neither the entry nor the store has.

Tests: six of cancellation_test; five fail before, the sixth passes there because the freed memory still holds the job.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -249,7 +249,9 @@
 
 void entry_core::cancel_job(const job_id& job, const waiting_caller& caller, time_point now) {
     ledger_job* known = ledger_.find(job);
-    if (const auto* ended = ended_jobs_.find(job))
+    const auto* ended = ended_jobs_.find(job);
+    // An earlier cancellation may have timed out before all entries had answered, so they are asked again.
+    if (ended != nullptr && !ended->is_withdrawn)
         answer_about_ended(caller.token, *ended, caller.request);
     else if (known != nullptr)
         cancel_own_job(*known, caller, now);
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -113,16 +113,55 @@
         // The other entry asks again, until the outcome of the acceptance is known here.
         known->is_cancellation_pending = known->is_cancellation_pending || message.is_cancellation;
     } else if (known != nullptr) {
-        if (message.is_cancellation && known->phase == job_phase::open)
-            end_job(*known, job_state::cancelled, now);
         answer.is_known = true;
         answer.state = known->shown_state();
+        if (message.is_cancellation && known->phase == job_phase::open) {
+            // The end of a non-durable job is final at once. That of a durable job has to be stored.
+            if (!known->is_durable())
+                answer.state = job_state::cancelled;
+            end_cancelled_job(*known, now);
+        }
     }
+    // A submission that arrives later must not run the job either.
+    if (message.is_withdrawn && ended_jobs_.find(message.job) == nullptr)
+        ended_jobs_.add(message.job, {job_state::cancelled, false, true}, now);
     output_.messages.emplace_back(link, answer);
 }
 
-void entry_core::receive(link_number, const job_lookup_reply& message, time_point now) {
-    locator_.process_answer(message, now);
+void entry_core::receive(link_number link, const job_lookup_reply& message, time_point now) {
+    const auto peer = peers_.find(link);
+    if (peer == peers_.end())
+        return;
+    locator_.process_answer(peer->second.name, message, now);
+    const std::set<std::string>* answered = locator_.find_answered(message.token);
+    if (answered != nullptr && unanswered_entries(*answered).empty())
+        locator_.end_entry_query(message.token);
+}
+
+// An entry that is alive and not connected may have the job too, so its answer is waited for.
+std::set<std::string> entry_core::unanswered_entries(const std::set<std::string>& answered) const {
+    std::set<std::string> names;
+    for (const auto& [name, entry] : members().entries()) {
+        if (name != name_ && members().is_alive(entry.record.session))
+            names.insert(name);
+    }
+    for (const auto& [link, peer] : peers_)
+        names.insert(peer.name);
+    for (const std::string& name : answered)
+        names.erase(name);
+    return names;
+}
+
+void entry_core::ask_entries(const job_locator::entry_query& query) {
+    const std::set<std::string> names = unanswered_entries(query.answered);
+    if (names.empty()) {
+        locator_.end_entry_query(query.request.token);
+        return;
+    }
+    for (const auto& [link, peer] : peers_) {
+        if (names.contains(peer.name))
+            output_.messages.emplace_back(link, query.request);
+    }
 }
 
 void entry_core::receive(link_number link, const queue_counts& message, time_point now) {
@@ -254,6 +293,8 @@
                 output_.messages.emplace_back(link, question);
         }
     }
+    for (const job_locator::entry_query& query : locator_.take_entry_queries())
+        ask_entries(query);
     for (caller_reply& answer : locator_.take_replies())
         output_.replies.push_back(answer);
     if (is_plan_needed_)
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -178,6 +179,10 @@
     void place_tasks(time_point now);
     void send_starts(const std::vector<planned_run>& plan, time_point now);
 
+    // Names of the other entries that may have a job and have not answered yet.
+    std::set<std::string> unanswered_entries(const std::set<std::string>& answered) const;
+    void ask_entries(const job_locator::entry_query& query);
+
     // Sessions.
     void update_sessions(time_point now);
     void take_adopted(time_point now);
--- a/coordination/job_locator.cpp
+++ b/coordination/job_locator.cpp
@@ -31,11 +31,16 @@
 void job_locator::send_lookup(std::uint64_t id, lookup& pending, time_point now) {
     pending.asked_at = now;
     pending.retry_at = now + answer_timeout;
+    if (pending.is_withdrawn) {
+        entry_queries_.push_back({{id, pending.job, true, true}, pending.answered});
+        return;
+    }
     const auto known = owners_.find(pending.job);
     if (known == owners_.end())
         reads_.push_back({id, pending.job});
     else
-        questions_.emplace_back(known->second, job_lookup_request{id, pending.job, pending.is_cancellation});
+        questions_.emplace_back(known->second,
+                                job_lookup_request{id, pending.job, pending.is_cancellation, false});
 }
 
 void job_locator::reply(const lookup& pending, caller_reply_kind kind, job_state state) {
@@ -72,8 +77,13 @@
 bool job_locator::process_status(std::uint64_t id, lookup& pending, const job_status& status,
                                  const member_directory& members, const incarnation& self, time_point now) {
     if (status.is_withdrawn) {
-        reply(pending, caller_reply_kind::gone, job_state::unknown);
-        return true;
+        if (!pending.is_cancellation) {
+            reply(pending, caller_reply_kind::gone, job_state::unknown);
+            return true;
+        }
+        pending.is_withdrawn = true;
+        send_lookup(id, pending, now);
+        return false;
     }
     if (is_final(status.state)) {
         reply(pending, pending.is_cancellation ? caller_reply_kind::cancelled : caller_reply_kind::state,
@@ -139,11 +149,28 @@
     lookups_.clear();
 }
 
-void job_locator::process_answer(const job_lookup_reply& answer, time_point now) {
+const std::set<std::string>* job_locator::find_answered(std::uint64_t id) const {
+    const auto found = lookups_.find(id);
+    return found == lookups_.end() || !found->second.is_withdrawn ? nullptr : &found->second.answered;
+}
+
+void job_locator::end_entry_query(std::uint64_t id) {
+    const auto found = lookups_.find(id);
+    if (found == lookups_.end())
+        return;
+    reply(found->second, caller_reply_kind::gone, job_state::unknown);
+    lookups_.erase(found);
+}
+
+void job_locator::process_answer(const std::string& entry, const job_lookup_reply& answer, time_point now) {
     const auto found = lookups_.find(answer.token);
     if (found == lookups_.end())
         return;
     lookup& pending = found->second;
+    if (!answer.is_known && pending.is_withdrawn) {
+        pending.answered.insert(entry);
+        return;
+    }
     if (!answer.is_known) {
         // The cached owner no longer has the job.
         owners_.erase(pending.job);
--- a/coordination/job_locator.h
+++ b/coordination/job_locator.h
@@ -13,6 +13,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -23,7 +25,7 @@
 // Looks up and cancels jobs that another entry owns, for this entry's callers. It finds the owner in the
 // store, sends it the request, and forwards its answer to the caller. A job that is not in the store may
 // still be accepted by a write that is under way, so its cancellation is acknowledged only after the store
-// has recorded that the job is withdrawn.
+// has recorded that the job is withdrawn and all other entries have cancelled it or do not have it.
 class job_locator {
 public:
     // A read of the job's state from the store. The id is that of the lookup.
@@ -38,7 +40,8 @@
 
     void process_store_reply(std::uint64_t id, const store_reply& reply, const member_directory& members,
                              const incarnation& self, time_point now);
-    void process_answer(const job_lookup_reply& answer, time_point now);
+    // entry is the name of the entry that answers.
+    void process_answer(const std::string& entry, const job_lookup_reply& answer, time_point now);
     // The withdrawal of the job has an outcome, and the store has this status of the job.
     void process_withdrawal(const job_id& job, const job_status& status, const member_directory& members,
                             const incarnation& self, time_point now);
@@ -57,6 +60,17 @@
     std::vector<std::pair<incarnation, job_lookup_request>> take_queries() {
         return std::exchange(questions_, {});
     }
+    // The cancellation of a withdrawn job, which each other entry has to answer.
+    struct entry_query {
+        job_lookup_request request;
+        // Names of the entries that have answered already.
+        std::set<std::string> answered;
+    };
+    std::vector<entry_query> take_entry_queries() { return std::exchange(entry_queries_, {}); }
+    // The entries that have answered this query; null if it has ended.
+    const std::set<std::string>* find_answered(std::uint64_t id) const;
+    // There is no other entry left that could have the withdrawn job.
+    void end_entry_query(std::uint64_t id);
     std::vector<caller_reply> take_replies() { return std::exchange(replies_, {}); }
     // A lookup of a job that turned out to belong to this entry.
     struct own_job {
@@ -78,6 +92,9 @@
         time_point asked_at{};
         // The lookup is retried at this time if no answer arrives.
         time_point retry_at{};
+        // The store has recorded that the job is withdrawn. Now the other entries are asked.
+        bool is_withdrawn = false;
+        std::set<std::string> answered;
     };
 
     void send_lookup(std::uint64_t id, lookup& pending, time_point now);
@@ -96,6 +113,7 @@
     std::vector<job_id> new_withdrawals_;
     std::vector<record_read> reads_;
     std::vector<std::pair<incarnation, job_lookup_request>> questions_;
+    std::vector<entry_query> entry_queries_;
     std::vector<caller_reply> replies_;
     std::vector<own_job> own_jobs_;
 };
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -71,6 +71,32 @@
         }
     }
 
+    // Another entry joins and is connected.
+    void connect_peer() {
+        entry_record record;
+        record.session = peer_;
+        store_.put(entry_key("peer"), record);
+        store_.put(liveness_key(peer_), std::string{});
+        entry_.link_opened(peer_link, false, now_);
+        entry_.received(peer_link, peer_hello{"peer", peer_}, now_, wall_);
+        advance_time(milliseconds{10});
+        serve_store();
+    }
+
+    void answer_lookup(std::uint64_t token, bool is_known) {
+        entry_.received(
+            peer_link,
+            job_lookup_reply{token, is_known, is_known ? job_state::cancelled : job_state::unknown}, now_,
+            wall_);
+        collect();
+    }
+
+    // The other entry forwards the cancellation of a job that it has withdrawn.
+    void forward_cancellation() {
+        entry_.received(peer_link, job_lookup_request{1, "a", true, true}, now_, wall_);
+        collect();
+    }
+
     std::optional<caller_reply_kind> kind_of_reply_to(caller_token token) const {
         const std::optional<caller_reply> reply = reply_to(token);
         return reply ? std::optional{reply->kind} : std::nullopt;
@@ -134,15 +160,14 @@
 // store.
 TEST_F(cancellation_test, of_another_entry_holds_for_a_job_that_is_being_accepted) {
     prepare_all();
-    entry_.link_opened(peer_link, false, now_);
-    entry_.received(peer_link, peer_hello{"peer", peer_}, now_, wall_);
+    connect_peer();
     submit_unanswered();
-    entry_.received(peer_link, job_lookup_request{1, "a", true}, now_, wall_);
+    entry_.received(peer_link, job_lookup_request{1, "a", true, false}, now_, wall_);
     collect();
     EXPECT_FALSE(take_messages<job_lookup_reply>(peer_link).at(0).is_known);
     serve_store();
     EXPECT_TRUE(take_starts().empty());
-    entry_.received(peer_link, job_lookup_request{2, "a", true}, now_, wall_);
+    entry_.received(peer_link, job_lookup_request{2, "a", true, false}, now_, wall_);
     collect();
     EXPECT_EQ(take_messages<job_lookup_reply>(peer_link).at(0).state, job_state::cancelled);
 }
@@ -210,13 +235,7 @@
 // Guards against an acknowledgement by an entry whose withdrawal came after the acceptance of the job.
 TEST_F(cancellation_test, is_sent_to_the_owner_if_the_job_is_accepted_before_the_withdrawal) {
     prepare_all();
-    entry_.link_opened(peer_link, false, now_);
-    entry_.received(peer_link, peer_hello{"peer", peer_}, now_, wall_);
-    entry_record record;
-    record.session = peer_;
-    store_.put(entry_key("peer"), record);
-    store_.put(liveness_key(peer_), std::string{});
-    advance_time(milliseconds{10});
+    connect_peer();
     const caller_token cancelled = cancel(writes_status);
     store_.put(job_key("a"), job_status{job_state::queued, peer_, 0});
     serve_store();
@@ -323,6 +342,92 @@
     EXPECT_EQ(kind_of_reply_to(cancelled), caller_reply_kind::uncertain);
 }
 
+// Guards against a job that is not durable and goes on at its entry, although another entry has answered that
+// no such job exists. Named by the second review.
+TEST_F(cancellation_test, is_acknowledged_after_the_other_entries_have_answered) {
+    prepare_all();
+    connect_peer();
+    const caller_token cancelled = cancel();
+    EXPECT_FALSE(reply_to(cancelled));
+    const std::vector<job_lookup_request> requests = take_messages<job_lookup_request>(peer_link);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_TRUE(requests[0].is_cancellation);
+    answer_lookup(requests[0].token, false);
+    EXPECT_EQ(kind_of_reply_to(cancelled), caller_reply_kind::gone);
+}
+
+TEST_F(cancellation_test, is_acknowledged_by_the_entry_that_has_the_job) {
+    prepare_all();
+    connect_peer();
+    const caller_token cancelled = cancel();
+    answer_lookup(take_messages<job_lookup_request>(peer_link).at(0).token, true);
+    EXPECT_EQ(kind_of_reply_to(cancelled), caller_reply_kind::cancelled);
+}
+
+// Guards against an acknowledgement for an entry that is alive and cannot be asked, and against one after the
+// caller has cancelled again.
+TEST_F(cancellation_test, is_not_acknowledged_for_an_entry_that_is_not_connected) {
+    prepare_all();
+    connect_peer();
+    entry_.link_closed(peer_link);
+    const caller_token first = cancel();
+    advance_time(milliseconds{2000});
+    EXPECT_EQ(kind_of_reply_to(first), caller_reply_kind::uncertain);
+    const caller_token second = cancel();
+    advance_time(milliseconds{500});
+    EXPECT_FALSE(reply_to(second));
+    store_.remove(liveness_key(peer_));
+    serve_store();
+    advance_time(milliseconds{300});
+    EXPECT_EQ(kind_of_reply_to(second), caller_reply_kind::gone);
+}
+
+// Guards against a lost question or answer, and against asking entries that have answered.
+TEST_F(cancellation_test, asks_again_who_has_not_answered) {
+    prepare_all();
+    connect_peer();
+    constexpr link_number other_link = 21;
+    entry_.link_opened(other_link, false, now_);
+    entry_.received(other_link, peer_hello{"other", {"other", 9}}, now_, wall_);
+    const caller_token cancelled = cancel();
+    answer_lookup(take_messages<job_lookup_request>(peer_link).at(0).token, false);
+    EXPECT_EQ(take_messages<job_lookup_request>(other_link).size(), 1U);
+    advance_time(milliseconds{300});
+    EXPECT_TRUE(take_messages<job_lookup_request>(peer_link).empty());
+    const std::vector<job_lookup_request> requests = take_messages<job_lookup_request>(other_link);
+    ASSERT_EQ(requests.size(), 1U);
+    entry_.received(other_link, job_lookup_reply{requests[0].token, false, job_state::unknown}, now_, wall_);
+    collect();
+    EXPECT_EQ(kind_of_reply_to(cancelled), caller_reply_kind::gone);
+}
+
+// Guards against runs of a job that is not durable, and against a caller without an answer, after another
+// entry has forwarded its cancellation.
+TEST_F(cancellation_test, of_another_entry_ends_a_job_that_is_not_durable) {
+    prepare_all();
+    connect_peer();
+    const caller_token submitted = submit(job("a", false));
+    ASSERT_EQ(take_starts().size(), 2U);
+    forward_cancellation();
+    EXPECT_EQ(take_messages<job_lookup_reply>(peer_link).at(0).state, job_state::cancelled);
+    EXPECT_EQ(take_messages<run_stop_request>().at(0).runs.size(), 2U);
+    ASSERT_EQ(kind_of_reply_to(submitted), caller_reply_kind::state);
+    EXPECT_EQ(reply_to(submitted)->state, job_state::cancelled);
+    EXPECT_EQ(entry_.open_jobs(), 0U);
+}
+
+// Guards against a job that runs because its submission arrives after its cancellation was acknowledged.
+TEST_F(cancellation_test, of_another_entry_makes_later_submissions_fail) {
+    prepare_all();
+    connect_peer();
+    forward_cancellation();
+    EXPECT_FALSE(take_messages<job_lookup_reply>(peer_link).at(0).is_known);
+    const caller_token submitted = submit(job("a", false));
+    ASSERT_EQ(kind_of_reply_to(submitted), caller_reply_kind::refused);
+    EXPECT_EQ(reply_to(submitted)->reason, submit_refusal::cancelled);
+    EXPECT_TRUE(take_starts().empty());
+}
+
 // Guards against withdrawn records that stay in the store for ever.
 TEST_F(cancellation_test, leaves_no_record_after_the_retention_time) {
     prepare_all();
--- a/tests/commit_queue_test.cpp
+++ b/tests/commit_queue_test.cpp
@@ -66,8 +66,8 @@
     EXPECT_EQ(retried_writes[0].call.conditions[1].key, job_key("fresh"));
 }
 
-// Guards against an acceptance and a withdrawal of the same job that both take effect, because the conditions of
-// one write hold for all of its changes.
+// Guards against an acceptance and a withdrawal of the same job that both take effect, because the conditions
+// of one write hold for all of its changes.
 TEST_F(commit_queue_test, writes_a_withdrawal_and_an_acceptance_of_one_job_separately) {
     accept("other");
     ASSERT_EQ(queue_.take_writes(now_).size(), 1U);
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -138,7 +138,8 @@
 }
 
 // Guards against untrue answers about a job whose acceptance has no outcome yet: a job that is run after its
-// cancellation was answered, and a job that was shown and is lost. Callers ask and cancel at any time and entry.
+// cancellation was answered, and a job that was shown and is lost. Callers ask and cancel at any time and
+// entry.
 TEST(dispatch_histories, keep_the_guarantees_when_callers_ask_and_cancel_at_any_time) {
     dispatch_simulation::options chosen;
     chosen.late_write_fraction = 0.2;
