Settle an adopted session only after the owner that had adopted it

Cause: the runs of the last owner have to be known first. While the write that adopts it is unanswered, its adoption counts as pending; when that write got no answer it counted as absent, although the store had applied it and this entry had acted on that.

Adoptions by this session that the view of the members shows count as pending now until their jobs are read.

--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -453,9 +453,18 @@
 }
 
 bool session_manager::is_adopting_below(std::uint32_t succession_count) const {
-    return std::any_of(pending_adoptions_.begin(), pending_adoptions_.end(), [&](const auto& entry) {
-        return entry.second.result.record.succession_count < succession_count;
-    });
+    const auto is_below = [&](const session_adoption& record) {
+        return record.succession_count < succession_count;
+    };
+    const bool is_pending =
+        std::any_of(pending_adoptions_.begin(), pending_adoptions_.end(),
+                    [&](const auto& entry) { return is_below(entry.second.result.record); });
+    // An adoption whose answer was lost is not pending until the view of the members is current again.
+    return is_pending ||
+           std::any_of(members_.adoptions().begin(), members_.adoptions().end(), [&](const auto& entry) {
+               return entry.second.record.successor == session_ && is_below(entry.second.record) &&
+                      !loaded_sessions_.contains(entry.first);
+           });
 }
 
 void session_manager::end_adoption(const incarnation& former, time_point now) {
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -295,6 +295,27 @@
     EXPECT_FALSE(store_.items().contains(entry_key("entry")));
 }
 
+// Guards against starting tasks whose runs under their last owner are not known yet: that owner had adopted
+// the session "first", this entry adopts both, and the answer to its adoption of the owner is lost. Found by
+// the histories in which callers ask and cancel at any time, seeds 356 and 647.
+TEST_F(leaving_adopter_test, adopts_the_owner_before_what_it_had_adopted_if_the_answer_is_lost) {
+    const incarnation first{"first", 8};
+    store_.put(adopted_key(first), session_adoption{first, former_, 1});
+    begin_adoption();
+    ASSERT_TRUE(store_.call(adoptions_[0].what, now_));
+    advance_time(milliseconds{500});
+    const auto adopted_first = session_manager_.take_adopted();
+    ASSERT_EQ(adopted_first.size(), 1U);
+    ASSERT_EQ(adopted_first[0].record.former, first);
+    const std::uint32_t count = adopted_first[0].record.succession_count;
+    EXPECT_TRUE(session_manager_.is_adopting_below(count));
+    session_manager_.replied(adoptions_[0].id, store_failure{"no answer", true}, now_);
+    EXPECT_TRUE(session_manager_.is_adopting_below(count));
+    advance_time(milliseconds{500});
+    ASSERT_EQ(session_manager_.take_adopted().size(), 1U);
+    EXPECT_FALSE(session_manager_.is_adopting_below(count));
+}
+
 // Guards against an entry that takes its exit for done before the store has its record as leaving, so that
 // the jobs wait for its lease to expire.
 TEST_F(session_manager_test, has_not_left_before_the_store_answers) {
