Adopt a session once

Tasks of a durable job ran again after their job had ended (TWICE): an entry adopted a session, ended its jobs, and adopted the same session again, from the records that were being removed.

Cause: whether a session may be adopted was decided from the view of the members, which lags behind the store, and from the adoptions in progress. A session whose jobs had been read was neither, until the watch showed its adoption.

Sessions whose jobs have been read are not adopted again.

--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -328,7 +328,7 @@
 
 bool session_manager::may_adopt(const incarnation& session) const {
     return session != session_ && !pending_adoptions_.contains(session) &&
-           !connected_sessions_.contains(session);
+           !loaded_sessions_.contains(session) && !connected_sessions_.contains(session);
 }
 
 // Whether the session has had no liveness key for so long that its process has ended. delay is added to this
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -316,6 +316,33 @@
     EXPECT_FALSE(session_manager_.is_adopting_below(count));
 }
 
+// Guards against jobs that are run again after their end: the view of the members still shows the adopted
+// session, so its jobs are read a second time, from records that are being removed. Found by the histories
+// with series of faults, seed 2807 on 685e4ba.
+TEST_F(leaving_adopter_test, adopts_a_session_once_while_its_view_of_the_members_is_behind) {
+    begin_adoption();
+    pending_calls_.push_back(adoptions_[0]);
+    std::size_t adopted = 0;
+    for (int i = 0; i < 20; ++i) {
+        for (session_manager::call& call : session_manager_.take_calls(now_))
+            pending_calls_.push_back(std::move(call));
+        std::vector<session_manager::call> watches;
+        for (const session_manager::call& call : std::exchange(pending_calls_, {})) {
+            if (std::holds_alternative<store_watch>(call.what))
+                watches.push_back(call);
+            else
+                session_manager_.replied(call.id, *store_.call(call.what, now_), now_);
+        }
+        pending_calls_ = watches;
+        adopted += session_manager_.take_adopted().size();
+        now_ += milliseconds{50};
+    }
+    ASSERT_FALSE(session_manager_.members().adoptions().contains(former_));
+    EXPECT_EQ(adopted, 1U);
+    advance_time(milliseconds{500});
+    EXPECT_TRUE(session_manager_.take_adopted().empty());
+}
+
 // Guards against an entry that takes its exit for done before the store has its record as leaving, so that
 // the jobs wait for its lease to expire.
 TEST_F(session_manager_test, has_not_left_before_the_store_answers) {
