Bound a lease by the last contact to the owner of the run

Cause: an agent renewed the lease of all runs for the full second until it stopped a run whose owner had been silent for 0.9 s. If the agent was frozen before that, the lease ended up to 0.9 + 1.02 s after the owner's last word, later than the resubmission.

An agent now requests no lease that can last beyond the resubmission: from the last contact to the owner of any such run, caller_resend_delay less 30 ms, by a clock that is 2% slow. The stop order after 0.9 s stays. No run is started under a lease of less than 0.1 s.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -144,6 +144,7 @@
     void send_hold_order(time_point now);
     void raise_token(time_point now);
     bool should_renew_lease(time_point now) const;
+    milliseconds lease_to_request(time_point now);
     bool may_be_presumed_lost(const run_record& record, time_point now) const;
     void update_lease_expiry(time_point now);
     bool needs_hold() const;
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -24,6 +24,14 @@
     }
     // Callers that lost their connection send their jobs again after this time. Set by the platform.
     milliseconds caller_resend_delay = default_caller_resend_delay;
+    // Longest lease whose end is certain to come within this time, although the backend server's clock may be
+    // 2% slow and the estimate of it may be wrong by a few milliseconds.
+    static milliseconds lease_that_ends_within(milliseconds time) {
+        constexpr milliseconds margin{30};
+        return (time - margin) * 50 / 51;
+    }
+    // No run is started under a shorter lease, which could end before its first renewal.
+    milliseconds min_start_lease{100};
     // Maximum time for which a backend server holds back its answer to a hold order. If the answer is lost,
     // the agent learns of ended runs this much later, about a third of the objective of the shortest tasks
     // (156 ms).
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -31,7 +31,7 @@
     const auto* hold = std::get_if<hold_order>(&action);
     const bool has_lease = std::holds_alternative<start_order>(action) || (hold != nullptr && hold->renews);
     if (has_lease) {
-        order.lease_until_ms = backend_clock_.at(now) + limits_.requested_lease().count();
+        order.lease_until_ms = backend_clock_.at(now) + lease_to_request(now).count();
         all_leases_expired_at_ = std::max(all_leases_expired_at_, now + limits_.max_lease_lifetime());
     }
     order.action = std::move(action);
@@ -68,6 +68,7 @@
 void agent_core::start_queued(time_point now) {
     if (queue_.empty() || refusal_reason() || has_unclaimed_runs())
         return;
+    const bool is_lease_long_enough = lease_to_request(now) >= limits_.min_start_lease;
     std::deque<run_ref> pending_runs;
     pending_runs.swap(queue_);
     for (const run_ref& run : pending_runs) {
@@ -75,7 +76,7 @@
         if (record == nullptr || record->state != run_state::queued)
             continue;
         const bool fits = record->needs.fits_in(backend_.capacity - runs_.held());
-        if (!fits || starts_in_flight_ >= limits_.max_starts_in_flight)
+        if (!fits || !is_lease_long_enough || starts_in_flight_ >= limits_.max_starts_in_flight)
             queue_.push_back(run);
         else if (!is_owner_present(record->owner, record->is_durable, now) || now >= record->expires_at)
             end_run(*record, run_state::refused, run_refusal::owner_silent, now);
@@ -104,6 +105,23 @@
     return unanswered_holds_ <= 1 || now - last_reply_ < limits_.silence_timeout;
 }
 
+// The caller of a non-durable job sends it to another entry once its own has been away for
+// caller_resend_delay. The run must have ended by then even if this agent stops working now, so the lease is
+// bounded by the last contact to the owner and not only by the stop order that follows it.
+milliseconds agent_core::lease_to_request(time_point now) {
+    milliseconds lease = limits_.requested_lease();
+    runs_.for_each([&](const run_record& record) {
+        if (record.is_durable || record.owner.name.empty() || !uses_present_capacity(record))
+            return;
+        const auto owner = owners_.find(record.owner);
+        const time_point contact = owner == owners_.end() ? record.accepted : owner->second.last_contact;
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(contact + limits_.caller_resend_delay - now);
+        lease = std::min(lease, agent_limits::lease_that_ends_within(left));
+    });
+    return lease;
+}
+
 bool agent_core::needs_hold() const {
     // Hold orders are sent to an unresponsive backend server until it answers. Otherwise it would never get
     // work again.
@@ -125,7 +143,7 @@
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
     hold.wait = is_unresponsive_ ? milliseconds{0} : limits_.max_hold_wait;
-    hold.renews = should_renew_lease(now) && !is_lease_expiring_;
+    hold.renews = should_renew_lease(now) && !is_lease_expiring_ && lease_to_request(now).count() > 0;
     const milliseconds timeout = hold.wait + order_round_trip_.timeout();
     hold_order_id_ = send_order(hold, timeout, now);
 }
@@ -138,7 +156,7 @@
                               static_cast<std::uint64_t>(std::max<std::int64_t>(0, backend_clock_.at(now))));
     hold_order hold;
     hold.acknowledged_end = end_to_acknowledge(now);
-    hold.renews = should_renew_lease(now) && !is_lease_expiring_;
+    hold.renews = should_renew_lease(now) && !is_lease_expiring_ && lease_to_request(now).count() > 0;
     raise_order_id_ = send_order(hold, order_round_trip_.timeout(), now);
 }
 
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -189,6 +189,44 @@
     EXPECT_TRUE(take_order<start_order>());
 }
 
+// Guards against two runs of a best-effort task: its entry is killed, the agent is frozen before it stops the
+// run, and the lease that it renewed last goes on after the caller has sent the job to another entry. Found
+// by the second review, case 10.
+TEST_F(agent_core_test, requests_no_lease_beyond_the_resubmission_of_a_job_whose_entry_is_silent) {
+    connect_and_synchronize();
+    const time_point contact = now_;
+    send_starts(1, false);
+    std::size_t leases = 0;
+    // The backend server's clock may be 2% slow from the order on.
+    const auto expect_in_time = [&](const backend_order& order) {
+        ++leases;
+        const milliseconds lease{order.lease_until_ms - backend_clock_ms_};
+        EXPECT_LE(now_ + lease * 51 / 50, contact + default_caller_resend_delay);
+    };
+    while (now_ < contact + default_caller_resend_delay) {
+        for (auto start = take_order<start_order>(); start; start = take_order<start_order>()) {
+            expect_in_time(*start);
+            answer(*start, backend_verdict::accepted);
+        }
+        for (auto hold = take_order<hold_order>(); hold; hold = take_order<hold_order>()) {
+            if (std::get<hold_order>(hold->action).renews)
+                expect_in_time(*hold);
+            answer(*hold, backend_verdict::accepted, {{run_of(0), {}, 0}});
+        }
+        advance_time(milliseconds{10});
+    }
+    EXPECT_GT(leases, 10U);
+}
+
+// Guards against a lease that is cut short for the runs of entries that are in touch.
+TEST_F(agent_core_test, requests_the_full_lease_for_runs_whose_entry_is_in_touch) {
+    connect_and_synchronize();
+    send_starts(1, false);
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_EQ(start->lease_until_ms, backend_clock_ms_ + agent_limits{}.requested_lease().count());
+}
+
 // Guards against runs that wait at one agent while another agent has free capacity.
 TEST_F(agent_core_test, refuses_runs_that_wait_too_long_for_capacity) {
     connect_and_synchronize();
