--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -98,6 +98,9 @@
     // Delay before the next hold order if the last one was answered early and showed no new end. Without the
     // delay, ends that are not yet recorded would make the agent send hold orders in a busy loop.
     milliseconds min_list_interval{10};
+    // Start queued runs by the time left until they must start, and predict when capacity comes free; a
+    // setting.
+    bool orders_runs_by_urgency = false;
 };
 
 } // namespace persimmonstile
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -178,6 +178,7 @@
     // Placement.
     void place_tasks(time_point now);
     void send_starts(const std::vector<planned_run>& plan, time_point now);
+    void add_urgency(run_spec& start, const ledger_job& job, milliseconds expected, time_point now) const;
 
     // Names of the other entries that may have a job and have not answered yet.
     std::set<std::string> unanswered_entries(const std::set<std::string>& answered) const;
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -1,4 +1,5 @@
 #include "coordination/entry_core.h"
+#include "coordination/find_queue.h"
 #include "coordination/store_keys.h"
 
 #include <algorithm>
@@ -241,6 +242,18 @@
         refuse_unplaced_job(*ledger_.find(id), "would be late, room goes to others", now);
 }
 
+// Tells the agent how urgent a run is, so that it can order runs that compete for capacity.
+void entry_core::add_urgency(run_spec& start, const ledger_job& job, milliseconds expected,
+                             time_point now) const {
+    const queue_policy* queue = find_queue_by_name(*config_, job.record->queue);
+    if (queue == nullptr)
+        return;
+    const time_point latest_start = run_time_model_.target_of(job, queue).in_time - expected;
+    start.priority = queue->priority;
+    start.start_within_ms =
+        std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(latest_start - now).count());
+}
+
 void entry_core::send_starts(const std::vector<planned_run>& plan, time_point now) {
     std::map<std::pair<agent_number, job_id>, run_start_request> messages;
     for (const planned_run& planned : plan) {
@@ -263,6 +276,8 @@
         start.needs = job.step(planned.task.step).task_needs;
         start.checkpoint = task.checkpoint;
         start.expected_ms = planned.expected.count();
+        if (limits_.forecasts_placement)
+            add_urgency(start, job, planned.expected, now);
         message.runs.push_back(std::move(start));
     }
     for (auto& [key, message] : messages) {
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -47,6 +47,12 @@
     milliseconds refusal_backoff{20};
     // Durable jobs are refused once writes to the store have failed for this long.
     milliseconds store_failure_timeout{300};
+    // Refuse jobs on arrival by a forecast of the free capacity; a setting.
+    bool forecasts_admission = false;
+    // Place tasks by their expected end, with the time at which capacity comes free; a setting.
+    bool forecasts_placement = false;
+    // Ask other entries for agents while tasks wait for capacity; a setting.
+    bool borrows_agents = false;
 };
 
 } // namespace persimmonstile
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -14,6 +14,21 @@
 //   hangerloop  the Hangerloop platform; jobs are kept in its store
 enum class deployment_kind : std::uint8_t { own, hangerloop };
 
+// How an entry decides which jobs it admits and in which order it serves them.
+//   wait      a job waits; a late job is refused after room went to others for some time
+//   forecast  a job that cannot end in time is refused on arrival, by a forecast of the free capacity
+enum class admission_kind : std::uint8_t { wait, forecast };
+
+// How an entry chooses the backend server of a task.
+//   free_capacity  by expected run time, among those with free capacity in the latest report
+//   forecast       by expected end, with the time at which capacity comes free
+enum class placement_kind : std::uint8_t { free_capacity, forecast };
+
+// The order in which an agent starts queued runs.
+//   arrival  in the order of arrival
+//   urgency  by the time left until they must start, with a fair share for each entry
+enum class run_queue_kind : std::uint8_t { arrival, urgency };
+
 // Settings of one daemon process, from one JSON file and command line overrides. Addresses are "ip:port";
 // port 0 lets the system choose.
 struct daemon_settings {
@@ -70,6 +85,13 @@
     std::uint32_t retention_s = 120;
     // A process that was asked to end is killed after this time.
     std::uint32_t grace_s = 6;
+    // Entries only.
+    admission_kind admission = admission_kind::wait;
+    placement_kind placement = placement_kind::free_capacity;
+    // Entries only: ask other entries for agents while tasks wait for capacity.
+    bool borrow_agents = false;
+    // Agents only.
+    run_queue_kind run_queue = run_queue_kind::arrival;
 
     bool operator==(const daemon_settings&) const = default;
 };
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -72,6 +72,11 @@
     "retention_s": {"type": "integer", "minimum": 1, "maximum": 86400,
                     "description": "an integer from 1 to 86400"},
     "grace_s": {"type": "integer", "minimum": 1, "maximum": 3600, "description": "an integer from 1 to 3600"},
+    "admission": {"enum": ["wait", "forecast"], "description": "\"wait\" or \"forecast\""},
+    "placement": {"enum": ["free_capacity", "forecast"],
+                  "description": "\"free_capacity\" or \"forecast\""},
+    "borrow_agents": {"type": "boolean", "description": "true or false"},
+    "run_queue": {"enum": ["arrival", "urgency"], "description": "\"arrival\" or \"urgency\""},
     "trace_file": {"type": "string", "description": "a path for trace spans, or an empty string"},
     "trace_url": {"type": "string",
                   "description": "the base URL \"http://ip:port\" of a trace collector, or an empty string"}
@@ -103,6 +108,13 @@
     return number;
 }
 
+// Text that is neither true nor false stays a string, which the schema then reports.
+json boolean_from(const std::string& text) {
+    if (text == "true" || text == "false")
+        return text == "true";
+    return text;
+}
+
 // Text that is no number stays a string, which the schema then reports.
 json number_from(const std::string& text) {
     double number = 0;
@@ -123,6 +135,9 @@
     if (type == "number") {
         return number_from(item.text);
     }
+    if (type == "boolean") {
+        return boolean_from(item.text);
+    }
     return type == "integer" ? integer_from(item.text) : json(item.text);
 }
 
@@ -269,6 +284,14 @@
     read_member(document, "remote_data_factor", settings.remote_data_factor);
     read_member(document, "retention_s", settings.retention_s);
     read_member(document, "grace_s", settings.grace_s);
+    settings.admission =
+        document.value("admission", "wait") == "forecast" ? admission_kind::forecast : admission_kind::wait;
+    settings.placement = document.value("placement", "free_capacity") == "forecast"
+                             ? placement_kind::forecast
+                             : placement_kind::free_capacity;
+    read_member(document, "borrow_agents", settings.borrow_agents);
+    settings.run_queue = document.value("run_queue", "arrival") == "urgency" ? run_queue_kind::urgency
+                                                                             : run_queue_kind::arrival;
     return settings;
 }
 
--- a/state/agent_profile.h
+++ b/state/agent_profile.h
@@ -4,6 +4,7 @@
 #include "state/backend_profile.h"
 #include "state/incarnation.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -25,11 +26,13 @@
     // Runs of this agent fail or make no progress, even if the backend server reports itself healthy. Entries
     // prefer other agents.
     bool is_suspect = false;
+    // Minimum time until the draining backend server leaves, in milliseconds; 0 if it is not known to leave.
+    std::int64_t leaves_in_ms = 0;
 
     static constexpr auto members() {
         return std::make_tuple(&agent_profile::agent, &agent_profile::zone, &agent_profile::accepts_runs,
                                &agent_profile::backend, &agent_profile::reported_capacity,
-                               &agent_profile::is_suspect);
+                               &agent_profile::is_suspect, &agent_profile::leaves_in_ms);
     }
 };
 
--- a/state/run_spec.h
+++ b/state/run_spec.h
@@ -21,12 +21,19 @@
     std::string checkpoint;
     // Expected run time at this backend server; 0 if unknown.
     std::int64_t expected_ms = 0;
+    // Priority of the job's queue; 0 is the highest.
+    std::uint32_t priority = 0;
+    // Time from the sending of the message within which the run must start so that its job can end in time,
+    // in milliseconds; 0 if it is unknown or over.
+    std::int64_t start_within_ms = 0;
 
     std::chrono::milliseconds expected() const { return std::chrono::milliseconds{expected_ms}; }
+    std::chrono::milliseconds start_within() const { return std::chrono::milliseconds{start_within_ms}; }
 
     static constexpr auto members() {
         return std::make_tuple(&run_spec::occurrence, &run_spec::step, &run_spec::index, &run_spec::run,
-                               &run_spec::needs, &run_spec::checkpoint, &run_spec::expected_ms);
+                               &run_spec::needs, &run_spec::checkpoint, &run_spec::expected_ms,
+                               &run_spec::priority, &run_spec::start_within_ms);
     }
 };
 
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -57,6 +57,33 @@
     EXPECT_EQ(to_json(*at(all, "/peers/1")).at("found"), "7");
 }
 
+// Guards against scheduling features that are on without having been asked for, or stay off.
+TEST(settings_reader, scheduling_features_are_off_unless_they_are_set) {
+    const auto unset = parse_settings("s.json", entry_text);
+    ASSERT_TRUE(std::holds_alternative<daemon_settings>(unset));
+    const auto& defaults = std::get<daemon_settings>(unset);
+    EXPECT_EQ(defaults.admission, admission_kind::wait);
+    EXPECT_EQ(defaults.placement, placement_kind::free_capacity);
+    EXPECT_EQ(defaults.run_queue, run_queue_kind::arrival);
+    EXPECT_FALSE(defaults.borrow_agents);
+
+    const auto set = parse_settings("s.json", entry_text,
+                                    {{"admission", "forecast"},
+                                     {"placement", "forecast"},
+                                     {"run_queue", "urgency"},
+                                     {"borrow_agents", "true"}});
+    ASSERT_TRUE(std::holds_alternative<daemon_settings>(set));
+    const auto& chosen = std::get<daemon_settings>(set);
+    EXPECT_EQ(chosen.admission, admission_kind::forecast);
+    EXPECT_EQ(chosen.placement, placement_kind::forecast);
+    EXPECT_EQ(chosen.run_queue, run_queue_kind::urgency);
+    EXPECT_TRUE(chosen.borrow_agents);
+
+    const findings all = findings_of(entry_text, {{"admission", "later"}, {"borrow_agents", "yes"}});
+    EXPECT_NE(at(all, "/admission"), nullptr);
+    EXPECT_NE(at(all, "/borrow_agents"), nullptr);
+}
+
 // Guards against a daemon that starts without knowing any entry or the store.
 TEST(settings_reader, requires_what_the_role_needs) {
     EXPECT_NE(at(findings_of(R"({"role":"agent","name":"a","zone":"z"})"), "/peers"), nullptr);
