Place tasks by the risk that other entries have taken the capacity

Cause: ten entries decide on reports that are up to 100 ms old and all prefer the fast backend servers, so agents return runs that do not fit any more.

Change: with the setting placement = forecast, the cost of an agent is the expected time to the end of the task. It includes the probability that other entries have taken the capacity since the report. An entry learns it from pairs of consecutive reports, by the number of runs that others are expected to have started in between (accepted_runs, or the change of the free capacity if an agent does not count them) and by the number of runs that fitted. How often a shortage leads to a return, and how long a return takes, is learnt from returned runs. The weight of a return grows as the job's spare time shrinks. Nothing changes with the setting off.

--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -2,12 +2,14 @@
 
 #include "coordination/agent_output.h"
 #include "coordination/ledger_task.h"
+#include "coordination/placement/capacity_history.h"
 #include "coordination/robust_average.h"
 #include "state/agent_profile.h"
 #include "state/backend_profile.h"
 #include "state/run_ref.h"
 #include "state/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <limits>
@@ -30,6 +32,8 @@
     // 0 while not connected.
     link_number link = 0;
     agent_profile profile;
+    // When the profile arrived. profile.leaves_in_ms counts from then.
+    time_point profile_received_at{};
     // The agent is recorded in the store, so a successor of this entry would query it.
     bool is_recorded = false;
     // When the agent's process first connected. It started before and does not know which owners were deposed
@@ -48,6 +52,14 @@
     bool is_introduced = false;
     bool is_session_introduced = false;
     agent_free_capacity reported_capacity;
+    // Free capacity in the past reports, kept if placement uses a forecast.
+    capacity_history capacity;
+    // Change of the free capacity since the previous report through runs of this entry, and the number of its
+    // runs that the agent has received since.
+    resources own_change;
+    std::uint64_t own_runs_since_report = 0;
+    // Index of the agent in the current planning pass.
+    std::size_t placement_slot = 0;
     // Number of start messages sent on this connection, and the resource needs of those that
     // `reported_capacity` does not include yet.
     std::uint64_t sent_starts = 0;
@@ -72,6 +84,16 @@
     // its current state should have arrived.
     time_point backoff_until{};
 
+    // Stores a report of the capacity. The start messages that it includes are no longer subtracted.
+    void update_capacity(const agent_free_capacity& reported) {
+        reported_capacity = reported;
+        while (!unacknowledged_starts.empty() &&
+               unacknowledged_starts.front().first <= reported.received_starts) {
+            own_change -= unacknowledged_starts.front().second;
+            unacknowledged_starts.pop_front();
+        }
+    }
+
     // Whether runs that the agent does not list may go on at a backend server that its former process used.
     bool may_have_former_runs(time_point now) const {
         return now < former_leases_expire_at && !profile.backend.id.empty() &&
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -51,8 +51,10 @@
         agent.is_ownership_confirmed = false;
     }
     agent.profile = profile;
+    agent.profile_received_at = now;
     if (is_new_backend) {
         agent.slowness = robust_average{16};
+        agent.capacity.clear();
     }
     if (is_new_link) {
         agents_.connect(agent, link);
@@ -69,8 +71,9 @@
         if (has_durable_jobs)
             confirm_ownership();
         agent.reported_capacity = profile.reported_capacity;
+        planner_.record_report(agent, now);
     } else {
-        update_free_capacity(agent, profile.reported_capacity);
+        update_free_capacity(agent, profile.reported_capacity, now);
     }
     agent.is_recorded = members().agents().contains(agent.name);
     is_plan_needed_ = true;
@@ -140,11 +143,10 @@
     }
 }
 
-void entry_core::update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity) {
-    agent.reported_capacity = reported_capacity;
-    while (!agent.unacknowledged_starts.empty() &&
-           agent.unacknowledged_starts.front().first <= reported_capacity.received_starts)
-        agent.unacknowledged_starts.pop_front();
+void entry_core::update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity,
+                                      time_point now) {
+    agent.update_capacity(reported_capacity);
+    planner_.record_report(agent, now);
     is_plan_needed_ = true;
 }
 
@@ -155,7 +157,7 @@
     record_contact(*agent, message.sent_ns, now);
     for (const run_report& report : message.reports)
         apply_report(*agent, report, now);
-    update_free_capacity(*agent, message.reported_capacity);
+    update_free_capacity(*agent, message.reported_capacity, now);
 }
 
 void entry_core::receive(link_number link, const run_inventory& message, time_point now) {
@@ -323,9 +325,10 @@
 
 void entry_core::apply_report(agent_view& agent, const run_report& report, time_point now) {
     const job_id& id = report.run.task.job;
-    if (is_final(report.state))
-        agent.runs.erase(report.run);
+    const bool has_ended = is_final(report.state) && agent.runs.erase(report.run) > 0;
     ledger_job* job = find_owned_job(id);
+    if (has_ended && job != nullptr && report.run.task.step < job->record->plan.steps.size())
+        agent.own_change += job->step(report.run.task.step).task_needs;
     if (job == nullptr) {
         // If the job has ended here, the end is no longer needed. Otherwise the job may belong to another
         // entry, which still needs the end.
@@ -374,6 +377,8 @@
     case report_effect::waiting:
         if (report.state == run_state::refused)
             agent.backoff_until = now + limits_.refusal_backoff;
+        if (report.state == run_state::refused && report.reason == run_refusal::no_room)
+            planner_.record_return(now - task_before.placed);
         record_decision("run ended without a result", id,
                         {{"step", report.run.task.step},
                          {"task", report.run.task.index},
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -121,7 +121,8 @@
     bool is_durable_run(const run_ref& run) const;
     bool is_owner_since(time_point evidence);
     void conclude_confirmed_losses(time_point now);
-    void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity);
+    void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity,
+                              time_point now);
     void apply_report(agent_view& agent, const run_report& report, time_point now);
     static void mark_started(ledger_job& job);
     void stop_obsolete_runs(agent_view& agent, const run_inventory& message, time_point now);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -295,6 +295,7 @@
         for (const run_spec& start : message.runs)
             needs += start.needs;
         agent.unacknowledged_starts.emplace_back(++agent.sent_starts, needs);
+        agent.own_runs_since_report += message.runs.size();
         for (const run_spec& start : message.runs)
             agent.runs[{{job.id, start.occurrence, start.step, start.index}, start.run}] = agent.sent_starts;
         record_decision("placed tasks", job.id,
--- /dev/null
+++ b/coordination/placement/placement_model.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "coordination/agent_view.h"
+#include "coordination/placement/placement_cost.h"
+#include "coordination/placement/placement_slot.h"
+#include "coordination/placement/placement_task.h"
+#include "coordination/placement/return_statistics.h"
+#include "coordination/placement/shortage_table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace persimmonstile {
+
+// Chooses the agent where a task is expected to end first. The expectation includes the risk that other
+// entries have taken the capacity since the agent's last report.
+class placement_model {
+public:
+    // remote_data_factor multiplies the run time of a task on a rack other than that of its data.
+    placement_model(std::string zone, double remote_data_factor, std::uint64_t seed)
+        : zone_{std::move(zone)}
+        , remote_data_factor_{remote_data_factor}
+        , random_{seed} {}
+
+    // What the agents report and do. The report must already be in agent.reported_capacity.
+    void record_report(agent_view& agent, time_point now);
+    void record_return(std::chrono::nanoseconds since_sent) { returns_.record_return(since_sent); }
+
+    // A planning pass: first all usable agents are added, each of which keeps its slot number.
+    void begin_pass(time_point now);
+    void add(agent_view& agent);
+
+    // The cost of the task at an agent of this pass, or why it cannot run there.
+    placement_candidate evaluate(const agent_view& agent, const placement_task& task) const;
+    // Whether `candidate` is better than `best`. Nearly equal candidates are chosen between at random,
+    // because entries that see the same reports would otherwise choose the same one.
+    double perturbed_total(const placement_cost& cost);
+    // Uses the capacity for the rest of the pass.
+    void take(const agent_view& agent, const placement_task& task, const placement_candidate& chosen);
+
+private:
+    // Number of runs of typical size that fit in `free`.
+    double slots_in(double free) const { return free / needs_per_run_; }
+    const placement_slot& slot_of(const agent_view& agent) const { return slots_[agent.placement_slot]; }
+
+    std::string zone_;
+    double remote_data_factor_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::vector<placement_slot> slots_;
+    // Needs of the runs that this entry has placed, on average.
+    double needs_per_run_ = 1000;
+    shortage_table shortages_;
+    return_statistics returns_;
+};
+
+} // namespace persimmonstile
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -61,6 +61,19 @@
     return static_cast<std::size_t>(running + chosen);
 }
 
+// Constraints of the job and the step that concern neither capacity nor time.
+placement_rejection constraint_rejection(const agent_view& agent, const ledger_job& job, const task_ref& task,
+                                         const std::vector<planned_run>& planned) {
+    const job_step& step = job.step(task.step);
+    if (job.is_durable() && !run_planner::is_usable_for_durable(agent))
+        return placement_rejection::not_durable;
+    if (!step.required_label.empty() && !has_label(agent, step.required_label))
+        return placement_rejection::wrong_label;
+    if (step.max_per_backend > 0 && count_step_tasks(agent, task, planned) >= step.max_per_backend)
+        return placement_rejection::too_many_of_step;
+    return placement_rejection::none;
+}
+
 } // namespace
 
 bool run_planner::is_usable(const agent_view& agent, const std::string& service,
@@ -95,6 +108,8 @@
 
     run_plan result;
     free_capacity_.clear();
+    if (placement_)
+        placement_->begin_pass(now);
     std::map<std::string, std::vector<agent_view*>> usable;
     std::map<std::string, late_jobs> late;
     for (const candidate& next : order) {
@@ -104,6 +119,7 @@
             found->second = usable_agents(agents, service, config, now);
         const std::vector<agent_view*>& candidates = found->second;
         const std::size_t planned_before = result.runs.size();
+        due_ = next.due;
         job_ledger::for_each_placeable_task(*next.job, [&](const task_ref& task, const job_step& step,
                                                            ledger_task& state) {
             const double seconds = times.expected_seconds(next.job->record->queue, step.estimate());
@@ -155,6 +171,8 @@
         if (!agent.profile.is_suspect)
             healthy.push_back(&agent);
         free_capacity_[number] = agent.free();
+        if (placement_)
+            placement_->add(agent);
     }
     return 2 * healthy.size() >= all.size() ? healthy : all;
 }
@@ -170,6 +188,8 @@
 agent_view* run_planner::choose_agent(const ledger_job& job, const task_ref& task, const ledger_task& state,
                                       double seconds, const std::vector<agent_view*>& usable,
                                       const std::vector<planned_run>& planned) {
+    if (placement_)
+        return choose_by_forecast(job, task, state, seconds, usable, planned);
     const job_step& step = job.step(task.step);
     std::uniform_real_distribution<double> jitter{1.0, 1.0 + cost_jitter};
     agent_view* best = nullptr;
@@ -199,4 +219,32 @@
     return best;
 }
 
+// Returns the agent where the task is expected to end first, or null if there is none.
+agent_view* run_planner::choose_by_forecast(const ledger_job& job, const task_ref& task,
+                                            const ledger_task& state, double seconds,
+                                            const std::vector<agent_view*>& usable,
+                                            const std::vector<planned_run>& planned) {
+    const job_step& step = job.step(task.step);
+    const placement_task request{step.task_needs,      seconds, step.data_rack,
+                                 state.avoided_agents, due_,    std::max(job.accepted, state.placed)};
+    agent_view* best = nullptr;
+    placement_candidate best_candidate;
+    double best_cost = 0;
+    for (agent_view* agent : usable) {
+        const placement_candidate candidate = placement_->evaluate(*agent, request);
+        if (candidate.rejection != placement_rejection::none ||
+            constraint_rejection(*agent, job, task, planned) != placement_rejection::none)
+            continue;
+        const double cost = placement_->perturbed_total(candidate.cost);
+        if (best == nullptr || cost < best_cost) {
+            best = agent;
+            best_candidate = candidate;
+            best_cost = cost;
+        }
+    }
+    if (best != nullptr)
+        placement_->take(*best, request, best_candidate);
+    return best;
+}
+
 } // namespace persimmonstile
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -3,12 +3,15 @@
 #include "coordination/agent_directory.h"
 #include "coordination/job_ledger.h"
 #include "coordination/late_job_policy.h"
+#include "coordination/placement/placement_model.h"
 #include "coordination/run_time_model.h"
 #include "state/deployment_config.h"
 #include "state/time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -38,10 +41,26 @@
 class run_planner {
 public:
     // remote_data_factor multiplies the cost of a task on a rack other than that of its data.
-    run_planner(std::string zone, double remote_data_factor, std::uint64_t seed)
+    // forecasts_placement places tasks by their expected end.
+    run_planner(std::string zone, double remote_data_factor, std::uint64_t seed,
+                bool forecasts_placement = false)
         : zone_{std::move(zone)}
         , remote_data_factor_{remote_data_factor}
-        , random_{seed} {}
+        , random_{seed} {
+        if (forecasts_placement)
+            placement_.emplace(zone_, remote_data_factor_, seed);
+    }
+
+    // The agent has reported its capacity, which is stored in its view.
+    void record_report(agent_view& agent, time_point now) {
+        if (placement_)
+            placement_->record_report(agent, now);
+    }
+    // An agent has returned a run for lack of capacity.
+    void record_return(std::chrono::nanoseconds since_sent) {
+        if (placement_)
+            placement_->record_return(since_sent);
+    }
 
     // Places all tasks that fit now. The caller subtracts the needs of placed tasks from the agents'
     // capacity.
@@ -74,6 +93,9 @@
     agent_view* choose_agent(const ledger_job& job, const task_ref& task, const ledger_task& state,
                              double seconds, const std::vector<agent_view*>& usable,
                              const std::vector<planned_run>& planned);
+    agent_view* choose_by_forecast(const ledger_job& job, const task_ref& task, const ledger_task& state,
+                                   double seconds, const std::vector<agent_view*>& usable,
+                                   const std::vector<planned_run>& planned);
 
     double utilization(const agent_view& agent) const;
 
@@ -84,6 +106,10 @@
     std::map<agent_number, resources> free_capacity_;
     // Decides for each service when its late jobs are refused.
     std::map<std::string, late_job_policy> late_job_policies_;
+    // Empty if tasks are placed by speed and free capacity.
+    std::optional<placement_model> placement_;
+    // Time by which the job that is being placed should end.
+    time_point due_{};
 };
 
 } // namespace persimmonstile
