Plan an agent's run queue by urgency and predicted capacity

Cause: an agent held a run that did not fit for 30 ms, although it knew that nothing would end within that time, and started queued runs in the order of arrival, so that an entry with many runs left little to the others. Change: with `run_queue` = `urgency`, an agent predicts the ends of its runs from progress, elapsed and expected time. A queued run that will find no capacity in time is returned at once; one that will may wait longer than 30 ms, within half of its time left. Runs start by urgency, priority and the share of their entry. Free capacity is reported with the expected releases and the number of accepted runs; neither causes a message. Nothing changes while the setting is off.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -8,6 +8,8 @@
 #include "coordination/backend_reply.h"
 #include "coordination/end_acknowledger.h"
 #include "coordination/round_trip_estimate.h"
+#include "coordination/run_queue/active_run.h"
+#include "coordination/run_queue/start_plan.h"
 #include "coordination/run_table.h"
 #include "state/agent_profile.h"
 #include "state/incarnation.h"
@@ -137,8 +139,15 @@
                              time_point now);
     std::uint64_t send_order(std::variant<start_order, stop_order, hold_order> action, milliseconds timeout,
                              time_point now, const std::string& backend_id);
-    bool has_unclaimed_runs();
+    bool has_unclaimed_runs() const;
     void start_queued(time_point now);
+    void start_by_arrival(time_point now);
+    void start_by_urgency(time_point now);
+    bool may_start(const run_record& record, time_point now);
+    // The runs that use capacity of the present backend server, for predictions.
+    std::vector<active_run> active_runs(time_point now) const;
+    start_plan plan_queue(std::size_t max_starts, time_point now);
+    bool is_queue_planned() const;
     void send_start_order(run_record& record, time_point now);
     void send_stop_order(run_record& record, time_point now);
     void send_hold_order(time_point now);
@@ -256,6 +265,8 @@
     // When the first lease of a run at a former backend server expires.
     time_point next_detached_expiry_ = time_point::max();
     std::deque<run_ref> queue_;
+    // Number of runs that were accepted since the process started.
+    std::uint64_t accepted_runs_ = 0;
     std::size_t starts_in_flight_ = 0;
 
     std::uint64_t last_order_id_ = 0;
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -197,7 +197,11 @@
         record.payload = payload;
         record.checkpoint = start.checkpoint;
         record.expected = start.expected();
+        record.priority = start.priority;
+        if (start.start_within_ms > 0)
+            record.latest_start = now + start.start_within();
         record.accepted = now;
+        ++accepted_runs_;
         runs_.add(std::move(record));
         queue_.push_back(run);
     }
@@ -372,7 +376,12 @@
 }
 
 agent_free_capacity agent_core::free_capacity_for(const link_state& link, time_point now) const {
-    return {free_capacity(now), runs_.queued(), link.received_starts};
+    agent_free_capacity result{free_capacity(now), runs_.queued(), link.received_starts, {}, 0};
+    if (!limits_.orders_runs_by_urgency)
+        return result;
+    result.accepted_runs = accepted_runs_;
+    result.releases = capacity_profile::releases(active_runs(now));
+    return result;
 }
 
 agent_profile agent_core::profile(time_point now) const {
@@ -382,7 +391,7 @@
     profile.backend = backend_;
     profile.accepts_runs = !refusal_reason();
     profile.is_suspect = backend_health_.is_avoided(now);
-    profile.reported_capacity = {free_capacity(now), runs_.queued(), 0};
+    profile.reported_capacity = free_capacity_for({}, now);
     return profile;
 }
 
@@ -412,7 +421,10 @@
 bool agent_core::has_unsent_updates(const link_state& link, time_point now) const {
     if (link.released_at)
         return !link.reports.empty();
-    return !link.reports.empty() || !(free_capacity_for(link, now) == link.sent_capacity);
+    // Expected releases change all the time, so they are sent only with other news.
+    return !link.reports.empty() || free_capacity(now) != link.sent_capacity.free ||
+           runs_.queued() != link.sent_capacity.queued ||
+           link.received_starts != link.sent_capacity.received_starts;
 }
 
 time_point agent_core::next_update(const link_state& link) const {
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -57,9 +57,9 @@
 
 // After a restart the agent finds runs at the backend server, but only their owners know how much capacity
 // they need. No run is started until all of them are claimed.
-bool agent_core::has_unclaimed_runs() {
+bool agent_core::has_unclaimed_runs() const {
     bool found = false;
-    runs_.for_each([&](run_record& record) {
+    runs_.for_each([&](const run_record& record) {
         found = found || (record.owner.name.empty() && uses_present_capacity(record));
     });
     return found;
@@ -68,6 +68,13 @@
 void agent_core::start_queued(time_point now) {
     if (queue_.empty() || refusal_reason() || has_unclaimed_runs())
         return;
+    if (limits_.orders_runs_by_urgency)
+        start_by_urgency(now);
+    else
+        start_by_arrival(now);
+}
+
+void agent_core::start_by_arrival(time_point now) {
     const bool is_lease_long_enough = lease_to_request(now) >= limits_.min_start_lease;
     std::deque<run_ref> pending_runs;
     pending_runs.swap(queue_);
@@ -78,13 +85,17 @@
         const bool fits = record->needs.fits_in(backend_.capacity - runs_.held());
         if (!fits || !is_lease_long_enough || starts_in_flight_ >= limits_.max_starts_in_flight)
             queue_.push_back(run);
-        else if (!is_owner_present(record->owner, record->is_durable, now) || now >= record->expires_at)
-            end_run(*record, run_state::refused, run_refusal::owner_silent, now);
-        else
+        else if (may_start(*record, now))
             send_start_order(*record, now);
+        else
+            end_run(*record, run_state::refused, run_refusal::owner_silent, now);
     }
 }
 
+bool agent_core::may_start(const run_record& record, time_point now) {
+    return is_owner_present(record.owner, record.is_durable, now) && now < record.expires_at;
+}
+
 void agent_core::send_start_order(run_record& record, time_point now) {
     runs_.set_state(record, run_state::starting);
     record.is_start_unanswered = false;
@@ -431,6 +442,9 @@
     if (!listed.checkpoint.empty())
         record->checkpoint = listed.checkpoint;
     if (record->last_progress_ms == 0 || listed.percent > record->percent) {
+        // Without a payload the run was found at the backend server, so its start time is not known.
+        if (record->payload != nullptr)
+            record->progress_observed_at = now;
         record->percent = listed.percent;
         record->last_progress_ms = clock_ms;
     } else if (is_stalled(*record, listed, clock_ms)) {
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -167,6 +167,9 @@
             end_run(*runs_.find(run), run_state::lapsed, run_refusal::no_backend, now);
         }
     }
+    // Runs that the plan covers are returned by it.
+    if (is_queue_planned())
+        return;
     std::vector<run_ref> timed_out;
     for (const run_ref& run : queue_) {
         const run_record* record = runs_.find(run);
--- a/coordination/run_record.h
+++ b/coordination/run_record.h
@@ -42,8 +42,14 @@
     // When percent last increased, in milliseconds of the backend server's clock. 0 if the run was neither
     // confirmed nor listed by the backend server yet.
     std::int64_t last_progress_ms = 0;
+    // When the agent read the list with the last increase of percent; only if it knows when the run started.
+    time_point progress_observed_at{};
     // Expected run time; 0 if unknown.
     milliseconds expected{0};
+    // Priority of the job's queue; 0 is the highest.
+    std::uint32_t priority = 0;
+    // Latest start with which the job can end in time. Not set if it is unknown or was over on arrival.
+    std::optional<time_point> latest_start;
     time_point ended{};
     std::uint64_t end_number = 0;
     // The owner stayed away, so the end of the run was offered to all entries.
--- a/coordination/run_table.cpp
+++ b/coordination/run_table.cpp
@@ -47,6 +47,11 @@
         visit(record);
 }
 
+void run_table::for_each(const std::function<void(const run_record&)>& visit) const {
+    for (const auto& [run, record] : records_)
+        visit(record);
+}
+
 void run_table::add_to_sums(const run_record& record, std::int64_t sign) {
     if (record.state == run_state::queued)
         queued_ += record.needs * sign;
--- a/coordination/run_table.h
+++ b/coordination/run_table.h
@@ -30,6 +30,7 @@
 
     // The visitor must not add or erase records.
     void for_each(const std::function<void(run_record&)>& visit);
+    void for_each(const std::function<void(const run_record&)>& visit) const;
 
 private:
     // Adds the run to the sums (sign 1) or subtracts it (sign -1).
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1277,5 +1277,123 @@
     EXPECT_EQ(offers, 2 * checks);
 }
 
+// An agent with the run queue by urgency, whose backend server has capacity for three runs.
+class run_queue_agent_test : public agent_core_test {
+protected:
+    run_queue_agent_test() {
+        agent_limits limits;
+        limits.orders_runs_by_urgency = true;
+        agent_ = agent_core{incarnation{"agent", 1}, "zone", limits, now_};
+        connect_and_synchronize();
+    }
+
+    void send_start(task_index index, milliseconds expected, milliseconds start_within = milliseconds{0}) {
+        run_start_request message;
+        message.owner = process_;
+        message.job = "job";
+        message.is_durable = false;
+        message.runs.push_back({0, 0, index, 1, {task_millicores, 64, 0}, {}, expected.count()});
+        message.runs.back().start_within_ms = start_within.count();
+        agent_.received(entry_link, message, now_);
+        collect();
+    }
+
+    void fill(milliseconds expected) {
+        for (task_index i = 0; i < 3; ++i) {
+            send_start(i, expected);
+            answer(*take_order<start_order>(), backend_verdict::accepted);
+        }
+    }
+
+    // Time passes while the entry is present.
+    void advance_with_contact(milliseconds time) {
+        send_pong();
+        advance_time(time);
+    }
+};
+
+// Guards against a run that waits for the queue timeout although nothing will end by then, and against a
+// refusal without the capacity that the entry needs to choose again.
+TEST_F(run_queue_agent_test, returns_a_run_that_cannot_be_served_within_one_event) {
+    fill(milliseconds{900});
+    messages_.clear();
+    send_start(3, milliseconds{60}, milliseconds{90});
+    const auto report = last_report(run_of(3));
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->state, run_state::refused);
+    EXPECT_EQ(report->reason, run_refusal::no_room);
+    EXPECT_EQ(last_room().received_starts, 4U);
+    EXPECT_EQ(last_room().free.cpu_millicores, 1000);
+    EXPECT_TRUE(decisions_.contains("returning a run that finds no capacity in time"));
+}
+
+// Guards against the return of a run that gets capacity in time, and against its return after the queue
+// timeout if it has more time left.
+TEST_F(run_queue_agent_test, lets_a_run_wait_for_capacity_that_is_predicted) {
+    fill(milliseconds{150});
+    send_start(3, milliseconds{900}, milliseconds{600});
+    for (int i = 0; i < 10; ++i) {
+        advance_with_contact(milliseconds{10});
+        EXPECT_FALSE(last_report(run_of(3)));
+    }
+    const auto hold = take_order<hold_order>();
+    ASSERT_TRUE(hold);
+    answer(*hold, backend_verdict::accepted, {{run_of(1), {}, 50}, {run_of(2), {}, 50}},
+           {{1, run_of(0), run_state::done, {}}});
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_EQ(std::get<start_order>(start->action).run, run_of(3));
+}
+
+// Guards against a prediction while the agent does not know what its backend server runs.
+TEST_F(run_queue_agent_test, keeps_the_queue_timeout_while_runs_are_unclaimed) {
+    advance_with_contact(milliseconds{200});
+    const auto hold = take_order<hold_order>();
+    send_start(0, milliseconds{900});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    const auto list = take_order<hold_order>();
+    ASSERT_TRUE(list);
+    answer(*list, backend_verdict::accepted, {{run_of(0), {}, 0}, {run_of(9, "unknown"), {}, 0}});
+    send_start(1, milliseconds{60}, milliseconds{600});
+    EXPECT_FALSE(last_report(run_of(1)));
+    advance_with_contact(milliseconds{31});
+    EXPECT_TRUE(was_reported(run_of(1), run_state::refused));
+}
+
+// Guards against reports without releases or with those of another time, and against a message for each
+// change of the predicted releases.
+TEST_F(run_queue_agent_test, reports_releases_and_accepted_runs_without_messages_of_their_own) {
+    fill(milliseconds{900});
+    advance_with_contact(milliseconds{100});
+    agent_free_capacity reported = last_room();
+    EXPECT_EQ(reported.accepted_runs, 3U);
+    ASSERT_EQ(reported.releases.size(), 1U);
+    EXPECT_EQ(reported.releases.back().amount.cpu_millicores, 3 * task_millicores);
+    EXPECT_GT(reported.releases.back().in_ms, 500);
+    messages_.clear();
+    for (int i = 0; i < 20; ++i)
+        advance_with_contact(milliseconds{10});
+    EXPECT_TRUE(std::none_of(messages_.begin(), messages_.end(), [](const work_message& message) {
+        return std::holds_alternative<run_reports>(message);
+    }));
+    // A returned run is reported with the releases expected at that time.
+    const std::int64_t earlier_ms = reported.releases.back().in_ms;
+    send_start(3, milliseconds{60}, milliseconds{90});
+    reported = last_room();
+    EXPECT_EQ(reported.accepted_runs, 4U);
+    ASSERT_EQ(reported.releases.size(), 1U);
+    EXPECT_LT(reported.releases.back().in_ms, earlier_ms);
+}
+
+// Guards against a change for deployments that have not switched the run queue on.
+TEST_F(agent_core_test, reports_no_releases_while_the_run_queue_is_by_arrival) {
+    connect_and_synchronize();
+    send_start_with_estimate(milliseconds{900});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    advance_time(milliseconds{100});
+    EXPECT_TRUE(last_room().releases.empty());
+    EXPECT_EQ(last_room().accepted_runs, 0U);
+}
+
 } // namespace
 } // namespace persimmonstile
