Report early when an agent fills up, and stop runs that a departure cuts off

Cause: entries choose by reports that are 60 to 100 ms old, so that all send runs to an agent that has just filled up. A backend server that leaves interrupts runs whose end after that was foreseeable, and their entries notice it a second later. Change: with `run_queue` = `urgency`, an agent reports when room for a typical run ends or comes back, 20 ms after the last report at the earliest and once in four regular intervals. `RemainingMs` of a draining backend server's report becomes `leaves_in_ms` of the agent's profile, and a run that could not end in time at 1.5 times its rate so far is stopped. Runs without observed progress are left alone.

--- a/coordination/agent_core.cpp
+++ b/coordination/agent_core.cpp
@@ -59,7 +59,7 @@
         next = std::min(next, now + limits_.queue_timeout / 4);
     for (const auto& [link, state] : links_) {
         if (has_unsent_updates(state, now))
-            next = std::min(next, next_update(state));
+            next = std::min(next, next_update(state, now));
         next = std::min(next, std::max(state.last_echoed, state.last_ping) + limits_.ping_interval);
     }
     if (runs_.active_count() > 0)
--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -9,7 +9,9 @@
 #include "coordination/end_acknowledger.h"
 #include "coordination/round_trip_estimate.h"
 #include "coordination/run_queue/active_run.h"
+#include "coordination/run_queue/early_report.h"
 #include "coordination/run_queue/start_plan.h"
+#include "coordination/run_queue/typical_needs.h"
 #include "coordination/run_table.h"
 #include "state/agent_profile.h"
 #include "state/incarnation.h"
@@ -88,6 +90,7 @@
         // The free capacity last reported to this entry, and when it was sent.
         agent_free_capacity sent_capacity;
         time_point capacity_sent_at{};
+        early_report early;
         std::vector<run_report> reports;
         // At least one report must be sent at once instead of with the next message about free capacity.
         bool has_urgent_report = false;
@@ -148,6 +151,12 @@
     std::vector<active_run> active_runs(time_point now) const;
     start_plan plan_queue(std::size_t max_starts, time_point now);
     bool is_queue_planned() const;
+    void observe_departure(const backend_announcement& announcement, time_point now);
+    // Time until the backend server leaves; not set if that is not known.
+    std::optional<milliseconds> time_until_departure(time_point now) const;
+    void stop_runs_cut_off(time_point now);
+    // Whether a run of the usual size fits, and the queue is not waiting for that capacity.
+    bool has_room(time_point now) const;
     void send_start_order(run_record& record, time_point now);
     void send_stop_order(run_record& record, time_point now);
     void send_hold_order(time_point now);
@@ -209,7 +218,8 @@
     void record_outcome(const run_record& record, time_point now);
     void flush_reports(time_point now);
     bool has_unsent_updates(const link_state& link, time_point now) const;
-    time_point next_update(const link_state& link) const;
+    time_point next_update(const link_state& link, time_point now) const;
+    time_point next_regular_update(const link_state& link) const;
     void send_reports(link_number link, link_state& state, time_point now);
     bool is_zone_out() const;
 
@@ -229,6 +239,8 @@
     std::uint64_t last_sequence_ = 0;
     // It has announced its end, and no announcement has come after that.
     bool has_signed_off_ = false;
+    // When the draining backend server leaves, according to its announcement.
+    std::optional<time_point> leaves_at_;
     // The latest announcement by another backend server or life, until it has answered an order.
     std::optional<backend_announcement> candidate_;
     time_point candidate_expires_at_{};
@@ -267,6 +279,7 @@
     std::deque<run_ref> queue_;
     // Number of runs that were accepted since the process started.
     std::uint64_t accepted_runs_ = 0;
+    typical_needs typical_needs_;
     std::size_t starts_in_flight_ = 0;
 
     std::uint64_t last_order_id_ = 0;
@@ -301,6 +314,8 @@
     std::uint64_t zones_version_ = 0;
     time_point last_orphan_offer_{};
     agent_profile sent_profile_;
+    // The departure that sent_profile_ tells.
+    std::optional<time_point> sent_departure_;
 };
 
 } // namespace persimmonstile
--- a/coordination/agent_identity.cpp
+++ b/coordination/agent_identity.cpp
@@ -29,6 +29,7 @@
     backend_ = announcement.profile;
     has_profile_ = true;
     has_signed_off_ = false;
+    observe_departure(announcement, now);
     if (is_first)
         record_decision("backend server announced", {},
                         {{"backend", backend_.id},
@@ -181,6 +182,7 @@
     raise_order_id_ = 0;
     is_raise_needed_ = false;
     backend_ = {};
+    leaves_at_.reset();
     has_profile_ = false;
     has_signed_off_ = false;
 }
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -202,6 +202,7 @@
             record.latest_start = now + start.start_within();
         record.accepted = now;
         ++accepted_runs_;
+        typical_needs_.add(record.needs);
         runs_.add(std::move(record));
         queue_.push_back(run);
     }
@@ -392,14 +393,18 @@
     profile.accepts_runs = !refusal_reason();
     profile.is_suspect = backend_health_.is_avoided(now);
     profile.reported_capacity = free_capacity_for({}, now);
+    if (const std::optional<milliseconds> left = time_until_departure(now))
+        profile.leaves_in_ms = std::max<std::int64_t>(1, left->count());
     return profile;
 }
 
 void agent_core::send_profile_if_changed(time_point now) {
     if (sent_profile_.accepts_runs == !refusal_reason() &&
-        sent_profile_.is_suspect == backend_health_.is_avoided(now) && sent_profile_.backend == backend_)
+        sent_profile_.is_suspect == backend_health_.is_avoided(now) && sent_profile_.backend == backend_ &&
+        sent_departure_ == leaves_at_)
         return;
     sent_profile_ = profile(now);
+    sent_departure_ = leaves_at_;
     for (const auto& [link, state] : links_)
         send_profile(link, state, now);
 }
@@ -413,7 +418,7 @@
 
 void agent_core::flush_reports(time_point now) {
     for (auto& [link, state] : links_) {
-        if (state.has_urgent_report || (has_unsent_updates(state, now) && now >= next_update(state)))
+        if (state.has_urgent_report || (has_unsent_updates(state, now) && now >= next_update(state, now)))
             send_reports(link, state, now);
     }
 }
@@ -427,13 +432,32 @@
            link.received_starts != link.sent_capacity.received_starts;
 }
 
-time_point agent_core::next_update(const link_state& link) const {
+time_point agent_core::next_update(const link_state& link, time_point now) const {
+    const time_point regular = next_regular_update(link);
+    if (!limits_.orders_runs_by_urgency)
+        return regular;
+    const std::optional<time_point> early =
+        link.early.due(has_room(now), limits_.capacity_report_interval(links_.size()));
+    return early ? std::min(regular, *early) : regular;
+}
+
+time_point agent_core::next_regular_update(const link_state& link) const {
     return link.capacity_sent_at + limits_.capacity_report_interval(links_.size());
 }
 
 void agent_core::send_reports(link_number link, link_state& state, time_point now) {
     run_reports message;
     message.reports.swap(state.reports);
+    if (limits_.orders_runs_by_urgency) {
+        const std::optional<time_point> due =
+            state.early.due(has_room(now), limits_.capacity_report_interval(links_.size()));
+        const bool is_early =
+            !state.has_urgent_report && now < next_regular_update(state) && due && now >= *due;
+        if (is_early)
+            record_decision("reporting early that capacity has run out or is free again", {},
+                            {{"entry", state.process.name}, {"has_room", has_room(now) ? 1 : 0}});
+        state.early.sent(has_room(now), is_early, now);
+    }
     state.has_urgent_report = false;
     message.reported_capacity = free_capacity_for(state, now);
     message.sent_ns = now.time_since_epoch().count();
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -379,6 +379,7 @@
         return;
     resolve_unanswered_starts(hold, listed, now);
     end_missing_runs(hold, listed, now);
+    stop_runs_cut_off(now);
 }
 
 void agent_core::process_listed_end(const listed_end& end, time_point now) {
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -153,6 +153,7 @@
 // Ends runs whose lease has expired at an unresponsive backend server, and refuses runs that were queued for
 // too long.
 void agent_core::check_timeouts(time_point now) {
+    stop_runs_cut_off(now);
     end_expired_detached_runs(now);
     if (is_unresponsive_ && now >= all_leases_expired_at_) {
         std::vector<run_ref> lapsed;
--- a/coordination/backend_announcement.h
+++ b/coordination/backend_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/backend_profile.h"
+#include "state/time.h"
 
 #include <cstdint>
 
@@ -13,6 +14,8 @@
     // stale reports.
     std::uint64_t sequence = 0;
     std::int64_t clock_ms = 0;
+    // Time until the draining backend server leaves; 0 if it is unknown.
+    milliseconds leaves_in{0};
 };
 
 } // namespace persimmonstile
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1385,6 +1385,103 @@
     EXPECT_LT(reported.releases.back().in_ms, earlier_ms);
 }
 
+// Guards against runs that are interrupted by a departure although it was announced, and against runs that
+// are stopped although they end before it.
+TEST_F(run_queue_agent_test, stops_only_the_runs_that_a_departure_cuts_off) {
+    fill(milliseconds{4000});
+    advance_with_contact(milliseconds{300});
+    auto hold = take_order<hold_order>();
+    ASSERT_TRUE(hold);
+    answer(*hold, backend_verdict::accepted, {{run_of(0), {}, 10}, {run_of(1), {}, 50}, {run_of(2), {}, 0}});
+    EXPECT_FALSE(take_order<stop_order>());
+    backend_profile leaving = profile();
+    leaving.draining = true;
+    messages_.clear();
+    agent_.announced({leaving, 2, backend_clock_ms_, milliseconds{1000}}, now_);
+    advance_with_contact(milliseconds{0});
+    const auto* told = std::get_if<agent_profile>(&messages_.front());
+    ASSERT_TRUE(told);
+    EXPECT_EQ(told->leaves_in_ms, 1000);
+    const auto stop = take_order<stop_order>();
+    ASSERT_TRUE(stop);
+    EXPECT_EQ(std::get<stop_order>(stop->action).run, run_of(0));
+    EXPECT_FALSE(take_order<stop_order>());
+    answer(*stop, backend_verdict::accepted);
+    hold = take_order<hold_order>();
+    ASSERT_TRUE(hold);
+    answer(*hold, backend_verdict::accepted, {{run_of(1), {}, 55}, {run_of(2), {}, 0}},
+           {{1, run_of(0), run_state::stopped, {}}});
+    const auto report = last_report(run_of(0));
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->state, run_state::stopped);
+    EXPECT_EQ(report->reason, run_refusal::draining);
+    EXPECT_FALSE(take_order<stop_order>());
+}
+
+// Guards against a backend server that is avoided because its runs were stopped for a departure, once it
+// stays after all.
+TEST_F(run_queue_agent_test, does_not_suspect_a_backend_server_whose_runs_a_departure_cut_off) {
+    backend_profile leaving = profile();
+    std::uint64_t sequence = 1;
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        send_pong();
+        const job_id job = "job" + std::to_string(i);
+        send_starts(1, false, job);
+        answer(*take_order<start_order>(), backend_verdict::accepted);
+        advance_with_contact(milliseconds{300});
+        leaving.draining = true;
+        agent_.announced({leaving, ++sequence, backend_clock_ms_, milliseconds{500}}, now_);
+        collect();
+        answer(*take_order<hold_order>(), backend_verdict::accepted, {{run_of(0, job), {}, 10}});
+        const auto stop = take_order<stop_order>();
+        ASSERT_TRUE(stop);
+        answer(*stop, backend_verdict::accepted);
+        answer(*take_order<hold_order>(), backend_verdict::accepted, {},
+               {{i + 1, run_of(0, job), run_state::stopped, {}}});
+        leaving.draining = false;
+        agent_.announced({leaving, ++sequence, backend_clock_ms_}, now_);
+        collect();
+    }
+    EXPECT_FALSE(decisions_.contains("backend server is suspect"));
+    EXPECT_TRUE(decisions_.contains("stopping a run that cannot end before the backend server leaves"));
+}
+
+// Guards against an entry that sends runs to a full agent until the next regular report.
+TEST_F(run_queue_agent_test, reports_early_to_other_entries_that_its_capacity_has_run_out) {
+    constexpr link_number other_link = 2;
+    agent_.link_opened(other_link, now_);
+    agent_.received(other_link, entry_welcome{{"other", 1}, {}, {}, {}, 0}, now_);
+    std::vector<milliseconds> reported_at;
+    const time_point begin = now_;
+    const auto step = [&] {
+        send_pong();
+        now_ += milliseconds{5};
+        backend_clock_ms_ += 5;
+        agent_.tick(now_);
+        agent_output output = agent_.take_output(now_);
+        std::move(output.orders.begin(), output.orders.end(), std::back_inserter(orders_));
+        for (const auto& [link, message] : output.messages) {
+            const auto* reports = std::get_if<run_reports>(&message);
+            if (link == other_link && reports != nullptr &&
+                !resources{task_millicores, 64, 0}.fits_in(reports->reported_capacity.free))
+                reported_at.push_back(std::chrono::duration_cast<milliseconds>(now_ - begin));
+        }
+    };
+    // The first regular report tells that there is room.
+    send_start(0, milliseconds{900});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    while (now_ < begin + milliseconds{10})
+        step();
+    send_start(1, milliseconds{900});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    send_start(2, milliseconds{900});
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    while (now_ < begin + milliseconds{100})
+        step();
+    ASSERT_FALSE(reported_at.empty());
+    EXPECT_LE(reported_at.front(), milliseconds{10} + early_report::min_distance + milliseconds{5});
+}
+
 // Guards against a change for deployments that have not switched the run queue on.
 TEST_F(agent_core_test, reports_no_releases_while_the_run_queue_is_by_arrival) {
     connect_and_synchronize();
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -508,6 +508,32 @@
     EXPECT_EQ(report->clock_ms, 482113);
 }
 
+// Guards against a departure that is not known, and against a drain that is missed because its time is odd.
+TEST(registration_codec, reads_the_time_until_a_draining_backend_server_leaves) {
+    const std::string body =
+        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":8,"State":"draining","ColdLeftMs":0,
+            "Capacity":{"Cpu":16000,"MemMb":32768},"ClockMs":1,"SeqNo":4,"born":17,"RemainingMs":2000})";
+    const auto read = [&](const std::string& state, const std::string& remaining) {
+        json report = json::parse(body);
+        report["State"] = state;
+        report.erase("RemainingMs");
+        std::string text = report.dump();
+        if (!remaining.empty())
+            text.insert(1, "\"RemainingMs\":" + remaining + ",");
+        return decode_announcement("i-1", text);
+    };
+    EXPECT_EQ(read("draining", "2000")->leaves_in, milliseconds{2000});
+    EXPECT_EQ(read("draining", "1999.5")->leaves_in, milliseconds{1999});
+    // Only a backend server that drains leaves.
+    EXPECT_EQ(read("ready", "2000")->leaves_in, milliseconds{0});
+    for (const char* unknown : {"", "0", "-5", "null", "\"2000\"", "[2000]", "1e300"}) {
+        const auto report = read("draining", unknown);
+        ASSERT_TRUE(report) << unknown;
+        EXPECT_TRUE(report->profile.draining);
+        EXPECT_EQ(report->leaves_in, milliseconds{0}) << unknown;
+    }
+}
+
 // Guards against announcements of other writers that are mistaken for those of a backend server.
 TEST(registration_codec, ignores_reports_of_other_writers) {
     for (const char* body :
