Order waiting jobs by priority and refuse on arrival by a forecast

Cause: under overload, jobs wait until they are late and are refused only then; a job whose runs were all returned gets "outcome unknown", and one that is of no use any more keeps its capacity. Change: with `admission` set to `forecast`, jobs are ordered by whether they can end in time, start, priority and slack; a forecast from the capacity that the entry's own runs hold refuses on arrival, with Retry-After; a job whose runs were all returned is refused as not run; one that may have run is aborted with an uncertain outcome once it cannot be of use. Switched off, the order and the refusals are as before.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -413,6 +413,8 @@
         const std::string& queue = job.record->queue;
         const double expected = run_time_model_.expected_seconds(queue, estimate);
         const double measured = std::chrono::duration<double>{report.run_time()}.count();
+        if (limits_.forecasts_admission)
+            admission_.observe_run(job, job.step(report.run.task.step), expected, measured);
         run_time_model_.observe(queue, estimate, report.run_time(), agent.slowness.value_or(1.0));
         if (expected > 0)
             agent.slowness.observe(measured / expected, 1.0);
--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -1,3 +1,4 @@
+#include "coordination/admission/run_certainty.h"
 #include "coordination/entry_core.h"
 #include "coordination/find_queue.h"
 #include "coordination/job_summary.h"
@@ -102,6 +103,8 @@
         ledger_.add(request.job, make_record(request, queue, unix_time_ms(wall_)), process_, 0, now);
     job.phase = job_phase::open;
     job.answer_by = request.answer_by - reply_margin;
+    if (limits_.forecasts_admission && !admit(job, request.token, now))
+        return;
     end_waiters_.add(request.job, {request.token, job.answer_by, caller_request::submission});
     is_plan_needed_ = true;
     record_decision("accepted a job", request.job, {{"queue", queue.name}, {"kept", 0}});
@@ -115,6 +118,8 @@
     acknowledge_all(job);
     ended_jobs_.add(id, {state, false}, now);
     answer_end_waiters(id, state);
+    if (limits_.forecasts_admission)
+        admission_.record_end(id, state == job_state::completed && is_useful_at(job, now));
     ledger_.erase(id);
 }
 
@@ -141,6 +146,7 @@
     if (job == nullptr || job->is_durable())
         return;
     record_decision("dropped a job whose callers have left", id, summarize_job(*job, now), true);
+    admission_.record_end(id, false);
     stop_runs_of(*job);
     acknowledge_all(*job);
     ledger_.erase(id);
@@ -151,12 +157,19 @@
 // Since no task of the job was ever sent to an agent, the job has certainly not run. Its callers are told so
 // at once and may retry.
 void entry_core::refuse_unplaced_job(ledger_job& job, std::string_view reason, time_point now) {
-    if (job.is_durable() || job.first_placed_at)
-        return;
+    if (!job.is_durable() && !job.first_placed_at)
+        refuse_not_run_job(job, reason, now);
+}
+
+// The job must certainly not have run.
+void entry_core::refuse_not_run_job(ledger_job& job, std::string_view reason, time_point now) {
     const job_id id = job.id;
     auto inputs = summarize_job(job, now);
     inputs.emplace_back("reason", std::string{reason});
-    record_decision("refused a job that found no room", id, std::move(inputs), true);
+    record_decision(job.first_placed_at ? "refused a job whose runs were all returned"
+                                        : "refused a job that found no room",
+                    id, std::move(inputs), true);
+    admission_.record_end(id, false);
     ledger_.erase(id);
     for (const waiting_caller& caller : end_waiters_.take(id))
         output_.replies.push_back({caller.token, caller_reply_kind::refused, job_state::unknown,
@@ -171,8 +184,8 @@
     }
     for (const job_id& id : expired) {
         ledger_job& job = *ledger_.find(id);
-        if (!job.first_placed_at) {
-            refuse_unplaced_job(job, "caller's time is over", now);
+        if (!job.first_placed_at || (limits_.forecasts_admission && has_certainly_not_run(job))) {
+            refuse_not_run_job(job, "caller's time is over", now);
             continue;
         }
         // A run may have started, so it is uncertain whether the job has run.
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -28,7 +28,11 @@
     , limits_{limits}
     , session_manager_{std::move(self), std::move(next_session), seed}
     , operator_records_{config_prefix, limits.max_config_delay / config_watch_divisor}
-    , planner_{zone_, limits.remote_data_factor, seed} {}
+    , planner_{zone_, limits.remote_data_factor, seed}
+    , admission_{seed} {
+    if (limits.forecasts_admission)
+        planner_.use_waiting_order();
+}
 
 void entry_core::record_decision(std::string_view what, const job_id& job,
                                  std::vector<std::pair<std::string_view, decision::value>> inputs,
@@ -249,6 +253,10 @@
     write_progress(now);
     begin_due_occurrences(now);
     drop_expired_jobs(now);
+    if (limits_.forecasts_admission) {
+        admission_.observe(agents_, ledger_, now);
+        end_useless_jobs(now);
+    }
     forget_expired(now);
     locator_.tick(now);
     answer_expired(now);
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission/admission_control.h"
 #include "coordination/adoption_progress.h"
 #include "coordination/agent_directory.h"
 #include "coordination/commit_queue.h"
@@ -150,6 +151,14 @@
     void drop_expired_jobs(time_point now);
     // Refuses a non-durable job of which no task has been placed yet. Does nothing for other jobs.
     void refuse_unplaced_job(ledger_job& job, std::string_view reason, time_point now);
+    // Refuses a new non-durable job if it cannot end while it is of use. Returns whether it is admitted.
+    bool admit(ledger_job& job, caller_token token, time_point now);
+    // Whether the end of the job is still of use to its caller, also if it is late.
+    bool is_useful_at(const ledger_job& job, time_point now) const;
+    // Refuses or aborts the non-durable jobs whose completion can no longer have value.
+    void end_useless_jobs(time_point now);
+    void refuse_not_run_job(ledger_job& job, std::string_view reason, time_point now);
+    void abort_job(const job_id& id, time_point now);
     const incarnation& owner_of(const ledger_job& job) const;
     void write_progress(time_point now);
     void begin_due_occurrences(time_point now);
@@ -221,6 +230,7 @@
     agent_directory agents_;
     run_time_model run_time_model_;
     run_planner planner_;
+    admission_control admission_;
     std::map<incarnation, adoption_progress> successions_;
     time_point connections_requested_at_{};
 
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -236,6 +236,8 @@
         return;
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
     send_starts(plan.runs, now);
+    if (limits_.forecasts_admission)
+        return;
     for (const job_id& id : plan.cannot_finish)
         refuse_unplaced_job(*ledger_.find(id), "cannot end in time", now);
     for (const job_id& id : plan.late_without_capacity)
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -1,5 +1,7 @@
 #include "coordination/job_ledger.h"
 
+#include "coordination/admission/run_certainty.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <utility>
@@ -121,6 +123,8 @@
 
 report_effect job_ledger::apply_report(ledger_job& job, const run_report& report, agent_number agent,
                                        time_point now) {
+    if (report.state != run_state::queued && report.state != run_state::starting && !proves_no_start(report))
+        job.may_have_run = true;
     ledger_task* task = find_task_of_run(job, report.run);
     if (task == nullptr || task->phase == task_phase::done)
         return report_effect::nothing;
--- a/coordination/ledger_job.h
+++ b/coordination/ledger_job.h
@@ -66,6 +66,8 @@
     std::optional<time_point> first_placed_at;
     // A run of a task has started.
     bool has_started = false;
+    // A run has ended, or is taken for ended, in a way that does not prove that it never started.
+    bool may_have_run = false;
     std::map<std::uint32_t, ledger_occurrence> occurrences;
     // Number of tasks in phase waiting, including those whose step is not ready.
     std::uint32_t waiting_tasks = 0;
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -26,21 +26,6 @@
 // choice.
 constexpr double failed_backend_factor = 4;
 
-// A job ends with its longest task. That task takes about this multiple of the expected run time, because a
-// step has several tasks and their run times differ.
-constexpr double longest_task_factor = 1.3;
-
-// Whether a job can end in time, late but still useful, or too late for its caller.
-enum class timeliness : std::uint8_t { in_time, late, too_late };
-
-timeliness timeliness_of(const job_target& target, time_point now) {
-    const std::chrono::duration<double, std::milli> longest_chain =
-        longest_task_factor * target.chain_duration;
-    if (now + longest_chain <= target.in_time)
-        return timeliness::in_time;
-    return now + target.chain_duration <= target.useful_until ? timeliness::late : timeliness::too_late;
-}
-
 bool has_label(const agent_view& agent, const std::string& label) {
     const std::vector<std::string>& labels = agent.profile.backend.labels;
     return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -72,32 +57,19 @@
 
 run_plan run_planner::plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
                            const run_time_model& times, const deployment_config& config, time_point now) {
-    struct candidate {
-        ledger_job* job;
-        timeliness value;
-        time_point due;
-    };
-    std::vector<candidate> order;
+    std::vector<waiting_job> order;
     order.reserve(waiting.size());
     for (ledger_job* job : waiting) {
-        const job_target target = times.target_of(*job, find_queue_by_name(config, job->record->queue));
-        const timeliness value = timeliness_of(target, now);
-        // A late job that has started takes precedence over late jobs that have not. Otherwise the work done
-        // for it would be lost.
-        const bool has_priority =
-            value == timeliness::in_time || (value == timeliness::late && job->has_started);
-        order.push_back({job, has_priority ? timeliness::in_time : value,
-                         has_priority ? target.in_time : target.useful_until});
+        const queue_policy* queue = find_queue_by_name(config, job->record->queue);
+        order.push_back(make_waiting_job(*job, times.target_of(*job, queue), queue, now));
     }
-    std::sort(order.begin(), order.end(), [](const candidate& left, const candidate& right) {
-        return std::tie(left.value, left.due, left.job->id) < std::tie(right.value, right.due, right.job->id);
-    });
+    sort(order, now);
 
     run_plan result;
     free_capacity_.clear();
     std::map<std::string, std::vector<agent_view*>> usable;
     std::map<std::string, late_jobs> late;
-    for (const candidate& next : order) {
+    for (const waiting_job& next : order) {
         const std::string& service = next.job->record->service;
         const auto [found, is_new] = usable.try_emplace(service);
         if (is_new)
@@ -115,6 +87,8 @@
             }
         });
         const std::size_t planned = result.runs.size() - planned_before;
+        if (waiting_order_ && planned > 0)
+            waiting_order_->record_start(next.job->record->queue, now);
         if (next.value == timeliness::too_late && planned == 0)
             result.cannot_finish.push_back(next.job->id);
         late_jobs& late_jobs_of_service = late[service];
@@ -130,6 +104,18 @@
     return result;
 }
 
+void run_planner::sort(std::vector<waiting_job>& jobs, time_point now) {
+    if (waiting_order_) {
+        waiting_order_->sort(jobs, now);
+        return;
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const waiting_job& left, const waiting_job& right) {
+        const timeliness left_class = left.class_in_order();
+        const timeliness right_class = right.class_in_order();
+        return std::tie(left_class, left.due, left.job->id) < std::tie(right_class, right.due, right.job->id);
+    });
+}
+
 // Refuses the late jobs of a service if all capacity keeps going to other jobs.
 void run_planner::refuse_late_jobs(const late_jobs& jobs, late_job_policy& policy, run_plan& result,
                                    time_point now) {
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/admission/waiting_job.h"
+#include "coordination/admission/waiting_order.h"
 #include "coordination/agent_directory.h"
 #include "coordination/job_ledger.h"
 #include "coordination/late_job_policy.h"
@@ -9,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -43,6 +46,9 @@
         , remote_data_factor_{remote_data_factor}
         , random_{seed} {}
 
+    // Orders the jobs by priority and slack from now on. Their refusal is left to the caller.
+    void use_waiting_order() { waiting_order_.emplace(); }
+
     // Places all tasks that fit now. The caller subtracts the needs of placed tasks from the agents'
     // capacity.
     run_plan plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
@@ -67,6 +73,7 @@
         std::size_t other_starts = 0;
     };
 
+    void sort(std::vector<waiting_job>& jobs, time_point now);
     static void refuse_late_jobs(const late_jobs& jobs, late_job_policy& policy, run_plan& result,
                                  time_point now);
     std::vector<agent_view*> usable_agents(agent_directory& agents, const std::string& service,
@@ -84,6 +91,8 @@
     std::map<agent_number, resources> free_capacity_;
     // Decides for each service when its late jobs are refused.
     std::map<std::string, late_job_policy> late_job_policies_;
+    // Empty while admission is not forecast.
+    std::optional<waiting_order> waiting_order_;
 };
 
 } // namespace persimmonstile
--- a/tests/entry_core_fixture.h
+++ b/tests/entry_core_fixture.h
@@ -22,6 +22,11 @@
 // call.
 class entry_core_test : public testing::Test {
 protected:
+    explicit entry_core_test(const entry_limits& limits = {})
+        : entry_{process_, self(), limits, "op/", 1, [this] {
+                     return ++last_session_;
+                 }} {}
+
     static constexpr link_number agent_link = 11;
     static constexpr std::int64_t task_millicores = 3000;
 
@@ -30,9 +35,7 @@
     wall_time wall_{std::chrono::hours{24 * 365 * 50}};
     kv_model store_;
     std::uint64_t last_session_ = 100;
-    entry_core entry_{process_, self(), entry_limits{}, "op/", 1, [this] {
-                          return ++last_session_;
-                      }};
+    entry_core entry_;
     std::vector<store_request> store_requests_;
     std::vector<std::pair<link_number, work_message>> messages_;
     std::vector<caller_reply> replies_;
