--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -78,6 +78,8 @@
         // submission, whatever the replies so far.
         double early_request_fraction = 0;
         injected_defect defect = injected_defect::none;
+        // Entries forecast admission.
+        bool forecasts_admission = false;
     };
 
     explicit dispatch_simulation(const options& chosen)
@@ -410,6 +412,7 @@
         self.peer_address = node.name;
         self.zone = "zone" + std::to_string(index % 3);
         entry_limits limits;
+        limits.forecasts_admission = options_.forecasts_admission;
         node.core = std::make_unique<entry_core>(incarnation{node.name, ++last_incarnation_}, self, limits,
                                                  "op/", options_.seed + static_cast<std::uint64_t>(index),
                                                  [this] { return ++last_incarnation_; });
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -75,6 +75,19 @@
     run_histories(chosen);
 }
 
+// Guards against false refusals and double runs when entries refuse jobs whose runs were returned, and abort
+// jobs that are of no use any more, under overload and faults.
+TEST(dispatch_histories, keep_the_guarantees_when_admission_is_forecast) {
+    dispatch_simulation::options chosen;
+    chosen.forecasts_admission = true;
+    chosen.jobs = 300;
+    chosen.agents = 2;
+    chosen.durable_fraction = 0.1;
+    chosen.late_order_fraction = 0.05;
+    chosen.long_fraction = 0.2;
+    run_histories(chosen);
+}
+
 // Guards against runs that are lost or repeated because an agent does not serve the entry that owns their
 // jobs: subsets change as entries start, and a successor adopts jobs whose runs are at agents that it has
 // never met.
