--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/admission/waiting_job.h"
+#include "coordination/admission/waiting_order.h"
 #include "coordination/agent_directory.h"
 #include "coordination/job_ledger.h"
 #include "coordination/late_job_policy.h"
@@ -62,6 +64,9 @@
             placement_->record_return(since_sent);
     }
 
+    // Orders the jobs by priority and slack from now on. Their refusal is left to the caller.
+    void use_waiting_order() { waiting_order_.emplace(); }
+
     // Places all tasks that fit now. The caller subtracts the needs of placed tasks from the agents'
     // capacity.
     run_plan plan(const std::vector<ledger_job*>& waiting, agent_directory& agents,
@@ -86,6 +91,7 @@
         std::size_t other_starts = 0;
     };
 
+    void sort(std::vector<waiting_job>& jobs, time_point now);
     static void refuse_late_jobs(const late_jobs& jobs, late_job_policy& policy, run_plan& result,
                                  time_point now);
     std::vector<agent_view*> usable_agents(agent_directory& agents, const std::string& service,
@@ -110,6 +116,8 @@
     std::optional<placement_model> placement_;
     // Time by which the job that is being placed should end.
     time_point due_{};
+    // Empty while admission is not forecast.
+    std::optional<waiting_order> waiting_order_;
 };
 
 } // namespace persimmonstile
