Report from log files how jobs ended and what capacity was lost

Change: `persimmonstile report load` counts jobs by outcome, by queue, size, entry and zone, and adds up capacity that was idle while tasks waited, used off the rack of the data, or used by runs without a result. Entries log the size of an accepted job and the time that its caller waits, the free capacity while tasks wait, and the capacity of such runs.

--- a/cli/command_list.cpp
+++ b/cli/command_list.cpp
@@ -10,6 +10,7 @@
 #include "cli/local_command.h"
 #include "cli/plan_command.h"
 #include "cli/replay_command.h"
+#include "cli/report_load_command.h"
 #include "cli/standin_backend_command.h"
 #include "cli/standin_store_command.h"
 #include "cli/status_command.h"
@@ -30,6 +31,7 @@
     command{"explain job", "show from span files where a job's time went", &run_explain_job},
     command{"explain request", "show from log files what was decided about a request", &run_explain_request},
     command{"explain", "show which default or exception sets a value", &run_explain_config},
+    command{"report load", "show from log files how jobs ended and what capacity was lost", &run_report_load},
     command{"status", "show revision, owner table, agents and load of entries", &run_status},
     command{"submit", "submit one job and print its outcome", &run_submit},
     command{"load", "drive a deployment and compare response times with the ideal", &run_load},
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -375,7 +375,8 @@
         if (report.state == run_state::refused)
             agent.backoff_until = now + limits_.refusal_backoff;
         record_decision("run ended without a result", id,
-                        {{"step", report.run.task.step},
+                        {{"millicore_ms", used_millicore_ms(*job, report)},
+                         {"step", report.run.task.step},
                          {"task", report.run.task.index},
                          {"run", static_cast<std::int64_t>(report.run.run)},
                          {"agent", agent.name},
@@ -419,6 +420,14 @@
     }
 }
 
+// Capacity that a run has used, in thousandths of a core times milliseconds.
+std::int64_t entry_core::used_millicore_ms(const ledger_job& job, const run_report& report) {
+    if (report.run.task.step >= job.record->plan.steps.size())
+        return 0;
+    return job.step(report.run.task.step).task_needs.cpu_millicores *
+           std::chrono::duration_cast<milliseconds>(report.run_time()).count();
+}
+
 void entry_core::mark_started(ledger_job& job) {
     job.has_started = true;
     if (job.state == job_state::queued)
--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -104,7 +104,12 @@
     job.answer_by = request.answer_by - reply_margin;
     end_waiters_.add(request.job, {request.token, job.answer_by, caller_request::submission});
     is_plan_needed_ = true;
-    record_decision("accepted a job", request.job, {{"queue", queue.name}, {"kept", 0}});
+    record_decision(
+        "accepted a job", request.job,
+        {{"queue", queue.name},
+         {"kept", 0},
+         {"tasks", static_cast<std::int64_t>(job.waiting_tasks)},
+         {"answer_within_ms", std::chrono::duration_cast<milliseconds>(request.answer_by - now).count()}});
 }
 
 void entry_core::finish_non_durable(ledger_job& job, job_state state, time_point now) {
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -123,6 +123,7 @@
     void conclude_confirmed_losses(time_point now);
     void update_free_capacity(agent_view& agent, const agent_free_capacity& reported_capacity);
     void apply_report(agent_view& agent, const run_report& report, time_point now);
+    static std::int64_t used_millicore_ms(const ledger_job& job, const run_report& report);
     static void mark_started(ledger_job& job);
     void stop_obsolete_runs(agent_view& agent, const run_inventory& message, time_point now);
     static bool is_obsolete(ledger_job& job, const run_ref& run);
@@ -178,6 +179,8 @@
     // Placement.
     void place_tasks(time_point now);
     void send_starts(const std::vector<planned_run>& plan, time_point now);
+    void record_placement(const ledger_job& job, const agent_view& agent, const run_start_request& message);
+    void record_waiting(const std::vector<ledger_job*>& waiting, time_point now);
     void add_urgency(run_spec& start, const ledger_job& job, milliseconds expected, time_point now) const;
 
     // Names of the other entries that may have a job and have not answered yet.
@@ -246,6 +249,8 @@
     std::uint64_t sent_members_version_ = 0;
     time_point addresses_sent_at_{};
     bool is_plan_needed_ = false;
+    // When the free capacity was last logged while tasks were waiting.
+    time_point waiting_logged_at_{};
     // The sessions must be updated, because time has passed, the store has replied, connections have changed,
     // or an adoption has made progress.
     bool is_session_update_needed_ = true;
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -236,12 +236,56 @@
         return;
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
     send_starts(plan.runs, now);
+    record_waiting(waiting, now);
     for (const job_id& id : plan.cannot_finish)
         refuse_unplaced_job(*ledger_.find(id), "cannot end in time", now);
     for (const job_id& id : plan.late_without_capacity)
         refuse_unplaced_job(*ledger_.find(id), "would be late, room goes to others", now);
 }
 
+void entry_core::record_placement(const ledger_job& job, const agent_view& agent,
+                                  const run_start_request& message) {
+    std::int64_t off_rack_millicore_ms = 0;
+    for (const run_spec& start : message.runs) {
+        const std::string& data_rack = job.step(start.step).data_rack;
+        if (!data_rack.empty() && data_rack != agent.profile.backend.rack)
+            off_rack_millicore_ms += start.needs.cpu_millicores * start.expected_ms;
+    }
+    std::vector<std::pair<std::string_view, decision::value>> inputs{
+        {"agent", agent.name},
+        {"tasks", static_cast<std::int64_t>(message.runs.size())},
+        {"free_millicores", agent.free().cpu_millicores}};
+    if (off_rack_millicore_ms > 0)
+        inputs.emplace_back("off_rack_millicore_ms", off_rack_millicore_ms);
+    record_decision("placed tasks", job.id, std::move(inputs));
+}
+
+// Logs, at most once in each interval, how much capacity is free while tasks wait. Much free capacity tells
+// that the waiting tasks are too large for the gaps, or need other backend servers.
+void entry_core::record_waiting(const std::vector<ledger_job*>& waiting, time_point now) {
+    if (now < waiting_logged_at_ + limits_.waiting_log_interval)
+        return;
+    std::int64_t tasks = 0;
+    for (ledger_job* job : waiting)
+        tasks += job_ledger::count_placeable_tasks(*job);
+    if (tasks == 0)
+        return;
+    waiting_logged_at_ = now;
+    std::int64_t free_millicores = 0;
+    std::int64_t agents = 0;
+    for (const auto& [number, agent] : agents_.all()) {
+        if (!run_planner::is_usable(agent, agent.profile.backend.service, *config_, now))
+            continue;
+        ++agents;
+        free_millicores += std::max<std::int64_t>(0, agent.free().cpu_millicores);
+    }
+    record_decision("tasks wait for capacity", {},
+                    {{"tasks", tasks},
+                     {"agents", agents},
+                     {"free_millicores", free_millicores},
+                     {"interval_ms", limits_.waiting_log_interval.count()}});
+}
+
 // Tells the agent how urgent a run is, so that it can order runs that compete for capacity.
 void entry_core::add_urgency(run_spec& start, const ledger_job& job, milliseconds expected,
                              time_point now) const {
@@ -297,10 +341,7 @@
         agent.unacknowledged_starts.emplace_back(++agent.sent_starts, needs);
         for (const run_spec& start : message.runs)
             agent.runs[{{job.id, start.occurrence, start.step, start.index}, start.run}] = agent.sent_starts;
-        record_decision("placed tasks", job.id,
-                        {{"agent", agent.name},
-                         {"tasks", static_cast<std::int64_t>(message.runs.size())},
-                         {"free_millicores", agent.free().cpu_millicores}});
+        record_placement(job, agent, message);
         output_.messages.emplace_back(agent.link, std::move(message));
     }
 }
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -47,6 +47,8 @@
     milliseconds refusal_backoff{20};
     // Durable jobs are refused once writes to the store have failed for this long.
     milliseconds store_failure_timeout{300};
+    // Minimum interval between two log lines about tasks that wait for capacity.
+    milliseconds waiting_log_interval{100};
     // Refuse jobs on arrival by a forecast of the free capacity; a setting.
     bool forecasts_admission = false;
     // Place tasks by their expected end, with the time at which capacity comes free; a setting.
