--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -6,6 +6,7 @@
 #include "coordination/backend_clock.h"
 #include "coordination/backend_health.h"
 #include "coordination/backend_reply.h"
+#include "coordination/balance/extra_entries.h"
 #include "coordination/end_acknowledger.h"
 #include "coordination/round_trip_estimate.h"
 #include "coordination/run_table.h"
@@ -280,8 +281,8 @@
     std::map<link_number, link_state> links_;
     bool has_new_addresses_ = true;
     bool is_release_update_needed_ = false;
-    // Addresses of entries that have requested a connection, and until when the request holds.
-    std::map<std::string, time_point> connection_requests_;
+    // Entries that have requested a connection.
+    extra_entries extra_entries_{limits_.connection_request_duration, limits_.max_extra_entries};
     std::map<incarnation, owner_state> owners_;
     // Successors of the deposed owners.
     std::map<incarnation, incarnation> deposed_owners_;
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -65,6 +65,9 @@
     milliseconds release_delay{1000};
     // How long a request for a connection holds. The entry repeats it more often than this while it needs it.
     milliseconds connection_request_duration{4000};
+    // Maximum number of further entries that an agent serves because their tasks wait for capacity. With two
+    // of them, the interval of capacity reports grows from 100 to 120 ms.
+    std::size_t max_extra_entries = 2;
     // Minimum time between two messages to one entry that report only free capacity or started runs. With
     // more frequent messages all entries would compete for every slot that becomes free. The time grows with
     // the number of entries, because otherwise an agent with many entries would spend more time on messages
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -20,8 +20,7 @@
 
 std::set<std::string> agent_core::served_addresses() const {
     std::set<std::string> result = choose_entries(self_.name, entry_addresses(), limits_.max_entries);
-    for (const auto& [address, until] : connection_requests_)
-        result.insert(address);
+    extra_entries_.insert_into(result);
     return result;
 }
 
@@ -78,16 +77,21 @@
 }
 
 void agent_core::receive(link_number, const connection_request& message, time_point now) {
-    const auto [found, is_new] = connection_requests_.try_emplace(message.entry_address);
-    found->second = now + limits_.connection_request_duration;
-    if (is_new)
-        mark_addresses_changed();
+    if (!message.is_for_capacity) {
+        if (extra_entries_.add_for_adoption(message.entry_address, now))
+            mark_addresses_changed();
+        return;
+    }
+    // The sender may know other entries than this agent. An entry that is served anyway takes no place.
+    if (served_addresses().contains(message.entry_address) ||
+        !extra_entries_.add_for_capacity(message.entry_address, now))
+        return;
+    record_decision("serving an entry that needs capacity", {}, {{"entry", message.entry_address}});
+    mark_addresses_changed();
 }
 
 void agent_core::forget_connection_requests(time_point now) {
-    const std::size_t expired =
-        std::erase_if(connection_requests_, [&](const auto& request) { return now >= request.second; });
-    if (expired > 0)
+    if (extra_entries_.remove_expired(now))
         mark_addresses_changed();
 }
 
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -50,6 +50,8 @@
         agent.process_seen_at = now;
         agent.is_ownership_confirmed = false;
     }
+    if (profile.accepts_runs && (is_new_link || !agent.profile.accepts_runs))
+        agent_requester_.agent_connected(profile.backend.service, profile.backend.labels);
     agent.profile = profile;
     if (is_new_backend) {
         agent.slowness = robust_average{16};
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -28,7 +28,9 @@
     , limits_{limits}
     , session_manager_{std::move(self), std::move(next_session), seed}
     , operator_records_{config_prefix, limits.max_config_delay / config_watch_divisor}
-    , planner_{zone_, limits.remote_data_factor, seed} {}
+    , planner_{zone_, limits.remote_data_factor, seed}
+    , agent_requester_{peer_address_, seed}
+    , agent_selector_{limits.entries_per_agent, limits.agent_request_duration, seed} {}
 
 void entry_core::record_decision(std::string_view what, const job_id& job,
                                  std::vector<std::pair<std::string_view, decision::value>> inputs,
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -2,6 +2,9 @@
 
 #include "coordination/adoption_progress.h"
 #include "coordination/agent_directory.h"
+#include "coordination/balance/agent_requester.h"
+#include "coordination/balance/agent_selector.h"
+#include "coordination/balance/unmet_demand.h"
 #include "coordination/commit_queue.h"
 #include "coordination/ended_jobs.h"
 #include "coordination/entry_limits.h"
@@ -109,6 +112,7 @@
     void receive(link_number link, const job_lookup_reply& message, time_point now);
     void receive(link_number link, const queue_counts& message, time_point now);
     void receive(link_number link, const connection_request& message, time_point now);
+    void receive(link_number link, const room_request& message, time_point now);
     template <typename Other> void receive(link_number, const Other&, time_point) {}
 
     // Agents.
@@ -178,6 +182,9 @@
     // Placement.
     void place_tasks(time_point now);
     void send_starts(const std::vector<planned_run>& plan, time_point now);
+    // Load balancing between entries.
+    void update_unmet_demands(time_point now);
+    void request_agents(time_point now);
     void add_urgency(run_spec& start, const ledger_job& job, milliseconds expected, time_point now) const;
 
     // Names of the other entries that may have a job and have not answered yet.
@@ -221,6 +228,10 @@
     agent_directory agents_;
     run_time_model run_time_model_;
     run_planner planner_;
+    agent_requester agent_requester_;
+    agent_selector agent_selector_;
+    // Tasks that the latest planning pass could not place. Empty unless borrows_agents is set.
+    std::vector<unmet_demand> unmet_demands_;
     std::map<incarnation, adoption_progress> successions_;
     time_point connections_requested_at_{};
 
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -232,14 +232,18 @@
     }
     if (has_durable)
         confirm_ownership();
-    if (waiting.empty())
+    if (waiting.empty()) {
+        unmet_demands_.clear();
         return;
+    }
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
     send_starts(plan.runs, now);
     for (const job_id& id : plan.cannot_finish)
         refuse_unplaced_job(*ledger_.find(id), "cannot end in time", now);
     for (const job_id& id : plan.late_without_capacity)
         refuse_unplaced_job(*ledger_.find(id), "would be late, room goes to others", now);
+    if (limits_.borrows_agents)
+        request_agents(now);
 }
 
 // Tells the agent how urgent a run is, so that it can order runs that compete for capacity.
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "coordination/agent_limits.h"
 #include "state/limits.h"
 #include "state/time.h"
 
+#include <cstddef>
+
 namespace persimmonstile {
 
 // Timeouts, intervals and other parameters of an entry.
@@ -53,6 +56,10 @@
     bool forecasts_placement = false;
     // Ask other entries for agents while tasks wait for capacity; a setting.
     bool borrows_agents = false;
+    // Number of entries that an agent serves by its own choice, and how long it serves another entry that has
+    // requested it. Both are the values of the agents.
+    std::size_t entries_per_agent = agent_limits{}.max_entries;
+    milliseconds agent_request_duration = agent_limits{}.connection_request_duration;
 };
 
 } // namespace persimmonstile
