--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -87,6 +87,71 @@
     run_histories(chosen);
 }
 
+// Five entries of which an agent serves two, and a backend server that some jobs depend on.
+dispatch_simulation::options borrowing_options() {
+    dispatch_simulation::options chosen;
+    chosen.entries = 5;
+    chosen.agents = 6;
+    chosen.max_entries = 2;
+    chosen.durable_fraction = 0.5;
+    chosen.borrows_agents = true;
+    chosen.labelled_fraction = 0.15;
+    return chosen;
+}
+
+// Guards against runs that are lost or repeated because an agent serves an entry for a short time only, while
+// entries that have asked for it or forwarded the request are killed, cut off or stopped.
+TEST(dispatch_histories, keep_the_guarantees_when_entries_ask_for_agents) {
+    dispatch_simulation::options chosen = borrowing_options();
+    run_histories(chosen);
+    chosen.jobs = 200;
+    chosen.series_faults = 3;
+    run_histories(chosen);
+}
+
+// Guards against the same when the requests are lost, or arrive when the task was placed long ago.
+TEST(dispatch_histories, keep_the_guarantees_when_requests_for_agents_are_lost_or_late) {
+    dispatch_simulation::options chosen = borrowing_options();
+    chosen.lost_request_fraction = 0.3;
+    chosen.late_request_fraction = 0.3;
+    chosen.late_order_fraction = 0.05;
+    run_histories(chosen);
+}
+
+// Guards against review/7: the only backend server that fits a job serves ten other entries, so the job never
+// starts. The request has to be repeated when it is lost, and when the entries that receive it are killed.
+TEST(dispatch_histories, complete_jobs_whose_only_backend_server_serves_other_entries) {
+    for (const bool has_faults : {false, true}) {
+        dispatch_simulation::options chosen;
+        chosen.entries = 13;
+        chosen.agents = 6;
+        chosen.jobs = 0;
+        chosen.faults = 0;
+        chosen.cancelled_fraction = 0;
+        chosen.borrows_agents = true;
+        chosen.lost_request_fraction = has_faults ? 0.5 : 0;
+        dispatch_simulation simulation{chosen};
+        if (has_faults) {
+            for (int entry = 0; entry < 3; ++entry)
+                simulation.schedule(milliseconds{4010}, [&, entry] {
+                    simulation.kill_entry(10 + entry, milliseconds{1000});
+                });
+        }
+        // The agent serves ten of the 13 entries, so up to three jobs reach entries that it does not serve.
+        constexpr int jobs = 10;
+        simulation.schedule(milliseconds{4000}, [&] {
+            for (int job = 0; job < jobs; ++job) {
+                simulation.set_work(job, 0, milliseconds{300});
+                simulation.submit(job, true, job, 1, true);
+            }
+        });
+        const std::vector<std::string> violations = simulation.run();
+        EXPECT_TRUE(violations.empty()) << join_lines(violations) << simulation.history();
+        EXPECT_EQ(simulation.completed(), static_cast<std::size_t>(jobs)) << simulation.history();
+        EXPECT_GT(simulation.borrowings(), 0U);
+    }
+}
+
 // Guards against a second run of a task that still runs at a backend server whose place another one seems to
 // have taken, or has taken.
 TEST(dispatch_histories, start_no_task_twice_when_backend_servers_are_replaced) {
