--- a/coordination/balance/agent_requester.cpp
+++ b/coordination/balance/agent_requester.cpp
@@ -42,7 +42,8 @@
 void agent_requester::agent_connected(const std::string& service, const std::vector<std::string>& labels) {
     for (auto& [key, state] : demands_) {
         const std::string& label = std::get<1>(key);
-        const bool has_label = label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+        const bool has_label =
+            label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
         if (std::get<0>(key) != service || !has_label)
             continue;
         state.pause = min_pause;
@@ -56,9 +57,8 @@
     refilled_at_ = now;
 }
 
-std::vector<link_number> agent_requester::choose_peers(demand_state& state,
-                                                       const std::vector<link_number>& peers,
-                                                       std::size_t count) {
+std::vector<link_number>
+agent_requester::choose_peers(demand_state& state, const std::vector<link_number>& peers, std::size_t count) {
     const auto not_asked = [&] {
         std::vector<link_number> left;
         std::copy_if(peers.begin(), peers.end(), std::back_inserter(left),
--- a/coordination/balance/agent_requester.h
+++ b/coordination/balance/agent_requester.h
@@ -44,9 +44,9 @@
         , random_{seed} {}
 
     // Returns the requests to send now, by link. peers are the links to the connected entries.
-    std::vector<std::pair<link_number, room_request>>
-    take_requests(const std::vector<unmet_demand>& demands, const std::vector<link_number>& peers,
-                  time_point now);
+    std::vector<std::pair<link_number, room_request>> take_requests(const std::vector<unmet_demand>& demands,
+                                                                    const std::vector<link_number>& peers,
+                                                                    time_point now);
 
     // An agent of this service and these labels has connected, so requests for such agents yield something.
     void agent_connected(const std::string& service, const std::vector<std::string>& labels);
--- a/coordination/balance/agent_selector.cpp
+++ b/coordination/balance/agent_selector.cpp
@@ -16,6 +16,20 @@
     return backend.service == service && has_label && needs.fits_in(backend.capacity);
 }
 
+namespace {
+
+// Whether the agent's free capacity is worth another connection. The entries that the agent serves already
+// compete for a small rest of its capacity, and each run that does not fit is returned.
+bool has_spare_capacity(const agent_view& agent, const room_request& request) {
+    const resources free = agent.free();
+    const bool is_needed = !request.required_label.empty();
+    const bool is_idle = agent.profile.backend.capacity.fits_in(free);
+    return request.needs.fits_in(free) &&
+           (is_needed || is_idle || (request.needs * agent_selector::min_free_tasks).fits_in(free));
+}
+
+} // namespace
+
 std::vector<agent_number> agent_selector::select(const room_request& request, const agent_directory& agents,
                                                  const std::vector<unmet_demand>& own_demands,
                                                  const std::set<std::string>& entries,
@@ -53,7 +67,7 @@
                                  const deployment_config& config, time_point now) const {
     if (!run_planner::is_usable(agent, request.service, config, now) || agent.profile.is_suspect ||
         !could_run(agent, request.service, request.required_label, request.needs) ||
-        !request.needs.fits_in(agent.free()) || asked_until_.contains({agent.number, request.entry_address}))
+        !has_spare_capacity(agent, request) || asked_until_.contains({agent.number, request.entry_address}))
         return false;
     return std::none_of(own_demands.begin(), own_demands.end(), [&](const unmet_demand& own) {
         return could_run(agent, own.service, own.label, own.needs);
--- a/coordination/balance/agent_selector.h
+++ b/coordination/balance/agent_selector.h
@@ -25,6 +25,10 @@
     static constexpr double agents_per_second = 20;
     static constexpr double max_burst = 20;
 
+    // Tasks that must fit in the free capacity of a busy agent, unless the request names a label. Ten entries
+    // with reports that are up to 100 ms old compete for it already.
+    static constexpr std::int64_t min_free_tasks = 4;
+
     // max_entries: number of entries that an agent serves by its own choice. hold: how long an agent serves
     // an entry after it was asked.
     agent_selector(std::size_t max_entries, milliseconds hold, std::uint64_t seed)
--- a/coordination/balance/extra_entries.cpp
+++ b/coordination/balance/extra_entries.cpp
@@ -17,7 +17,9 @@
 }
 
 bool extra_entries::remove_expired(time_point now) {
-    const auto is_expired = [&](const auto& request) { return now >= request.second; };
+    const auto is_expired = [&](const auto& request) {
+        return now >= request.second;
+    };
     return std::erase_if(for_adoption_, is_expired) + std::erase_if(for_capacity_, is_expired) > 0;
 }
 
--- a/coordination/entry_balance.cpp
+++ b/coordination/entry_balance.cpp
@@ -13,19 +13,19 @@
         if (job.phase != job_phase::open || (job.is_durable() && !may_place_durable))
             continue;
         const std::string& service = job.record->service;
-        job_ledger::for_each_placeable_task(
-            job, [&](const task_ref&, const job_step& step, const ledger_task&) {
-                const bool is_spread = step.max_per_backend > 0;
-                const auto same =
-                    std::find_if(unmet_demands_.begin(), unmet_demands_.end(), [&](const unmet_demand& known) {
-                        return known.service == service && known.label == step.required_label &&
-                               known.needs == step.task_needs && known.is_spread == is_spread;
-                    });
-                if (same != unmet_demands_.end())
-                    ++same->tasks;
-                else
-                    unmet_demands_.push_back({service, step.required_label, step.task_needs, 1, is_spread});
-            });
+        job_ledger::for_each_placeable_task(job, [&](const task_ref&, const job_step& step,
+                                                     const ledger_task&) {
+            const bool is_spread = step.max_per_backend > 0;
+            const auto same =
+                std::find_if(unmet_demands_.begin(), unmet_demands_.end(), [&](const unmet_demand& known) {
+                    return known.service == service && known.label == step.required_label &&
+                           known.needs == step.task_needs && known.is_spread == is_spread;
+                });
+            if (same != unmet_demands_.end())
+                ++same->tasks;
+            else
+                unmet_demands_.push_back({service, step.required_label, step.task_needs, 1, is_spread});
+        });
     }
 }
 
