--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -29,7 +29,9 @@
     , session_manager_{std::move(self), std::move(next_session), seed}
     , operator_records_{config_prefix, limits.max_config_delay / config_watch_divisor}
     , planner_{zone_, limits.remote_data_factor, seed, limits.forecasts_placement}
-    , admission_{seed} {
+    , admission_{seed}
+    , agent_requester_{peer_address_, seed}
+    , agent_selector_{limits.entries_per_agent, limits.agent_request_duration, seed} {
     if (limits.forecasts_admission)
         planner_.use_waiting_order();
 }
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -232,17 +232,21 @@
     }
     if (has_durable)
         confirm_ownership();
-    if (waiting.empty())
+    if (waiting.empty()) {
+        unmet_demands_.clear();
         return;
+    }
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
     send_starts(plan.runs, now);
     record_waiting(waiting, now);
-    if (limits_.forecasts_admission)
-        return;
-    for (const job_id& id : plan.cannot_finish)
-        refuse_unplaced_job(*ledger_.find(id), "cannot end in time", now);
-    for (const job_id& id : plan.late_without_capacity)
-        refuse_unplaced_job(*ledger_.find(id), "would be late, room goes to others", now);
+    if (!limits_.forecasts_admission) {
+        for (const job_id& id : plan.cannot_finish)
+            refuse_unplaced_job(*ledger_.find(id), "cannot end in time", now);
+        for (const job_id& id : plan.late_without_capacity)
+            refuse_unplaced_job(*ledger_.find(id), "would be late, room goes to others", now);
+    }
+    if (limits_.borrows_agents)
+        request_agents(now);
 }
 
 void entry_core::record_placement(const ledger_job& job, const agent_view& agent,
