--- a/coordination/entry_admission.cpp
+++ b/coordination/entry_admission.cpp
@@ -28,6 +28,9 @@
         return true;
     output_.replies.push_back({token, caller_reply_kind::refused, job_state::unknown,
                                submit_refusal::overloaded, verdict.retry_after});
+    // The job is waiting until it is erased, so its tasks count as a demand for agents of other entries.
+    if (limits_.borrows_agents)
+        request_agents(now);
     const job_id id = job.id;
     ledger_.erase(id);
     return false;
