--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -85,6 +85,8 @@
         // late.
         double lost_request_fraction = 0;
         double late_request_fraction = 0;
+        // Entries place tasks by their expected end.
+        bool forecasts_placement = false;
         injected_defect defect = injected_defect::none;
         // Entries forecast admission.
         bool forecasts_admission = false;
@@ -429,6 +431,7 @@
         limits.forecasts_admission = options_.forecasts_admission;
         limits.borrows_agents = options_.borrows_agents;
         limits.entries_per_agent = options_.max_entries;
+        limits.forecasts_placement = options_.forecasts_placement;
         node.core = std::make_unique<entry_core>(incarnation{node.name, ++last_incarnation_}, self, limits,
                                                  "op/", options_.seed + static_cast<std::uint64_t>(index),
                                                  [this] { return ++last_incarnation_; });
