Play random histories with run queues by urgency

Cause: the guarantees of the dispatcher must hold whichever order an agent starts its runs in. Change: an option of the dispatch simulation, and the histories under overload with it.

--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -77,6 +77,8 @@
         // Fraction of the jobs whose state, or cancellation, a caller requests at any entry around their
         // submission, whatever the replies so far.
         double early_request_fraction = 0;
+        // The agents order their runs by urgency.
+        bool orders_runs_by_urgency = false;
         injected_defect defect = injected_defect::none;
     };
 
@@ -469,6 +471,7 @@
         agent_node& node = *agents_[index];
         agent_limits limits;
         limits.max_entries = options_.max_entries;
+        limits.orders_runs_by_urgency = options_.orders_runs_by_urgency;
         node.core = std::make_unique<agent_core>(incarnation{node.name, ++last_incarnation_},
                                                  node.backend->profile().zone, limits, now_);
         log_event("agent " + node.name + " starts");
--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -75,6 +75,15 @@
     run_histories(chosen);
 }
 
+// Guards against a guarantee that depends on the order of arrival or on the queue timeout of agents.
+TEST(dispatch_histories, keep_the_guarantees_under_overload_with_run_queues_by_urgency) {
+    dispatch_simulation::options chosen;
+    chosen.orders_runs_by_urgency = true;
+    chosen.jobs = 200;
+    chosen.agents = 2;
+    run_histories(chosen);
+}
+
 // Guards against runs that are lost or repeated because an agent does not serve the entry that owns their
 // jobs: subsets change as entries start, and a successor adopts jobs whose runs are at agents that it has
 // never met.
