--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -87,6 +87,8 @@
         double late_request_fraction = 0;
         // Entries place tasks by their expected end.
         bool forecasts_placement = false;
+        // The agents order their runs by urgency.
+        bool orders_runs_by_urgency = false;
         injected_defect defect = injected_defect::none;
         // Entries forecast admission.
         bool forecasts_admission = false;
@@ -493,6 +495,7 @@
         agent_node& node = *agents_[index];
         agent_limits limits;
         limits.max_entries = options_.max_entries;
+        limits.orders_runs_by_urgency = options_.orders_runs_by_urgency;
         node.core = std::make_unique<agent_core>(incarnation{node.name, ++last_incarnation_},
                                                  node.backend->profile().zone, limits, now_);
         log_event("agent " + node.name + " starts");
