Test the agent's bound on extra entries, and that the default lends nothing

Cause: removing the check of borrow_agents at the receiver, or the agent's bound, made no test fail. Change: a test in agent_core_test; the test of the default sends the request of every other entry.

--- a/tests/agent_balance_test.cpp
+++ b/tests/agent_balance_test.cpp
@@ -302,7 +302,10 @@
     submit(labelled_job());
     advance_time(milliseconds{500});
     EXPECT_TRUE(asked_peers().empty());
-    entry_.received(first_peer_link, room_request{"peer0:1", "service", {3000, 64, 0}, "", 2}, now_, wall_);
+    for (int i = 0; i < peers; ++i)
+        entry_.received(first_peer_link,
+                        room_request{"peer" + std::to_string(i) + ":1", "service", {1000, 64, 0}, "", 2},
+                        now_, wall_);
     collect();
     EXPECT_TRUE(take_messages<connection_request>().empty());
 }
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1241,6 +1241,23 @@
     EXPECT_FALSE(agent_.served_addresses().contains(released_address_));
 }
 
+// Guards against connections that grow with the number of entries that need capacity, and against a successor
+// that is not connected because such entries hold all places.
+TEST_F(entry_subset_agent_test, bounds_the_entries_that_it_serves_for_capacity) {
+    learn_both_entries();
+    const std::string own_address = *agent_.served_addresses().begin();
+    const std::size_t places = agent_limits{}.max_extra_entries;
+    agent_.received(served_link, connection_request{own_address, true}, now_);
+    for (std::size_t i = 0; i <= places; ++i)
+        agent_.received(served_link, connection_request{"asking" + std::to_string(i), true}, now_);
+    EXPECT_EQ(agent_.served_addresses().size(), 1 + places);
+    EXPECT_FALSE(agent_.served_addresses().contains("asking" + std::to_string(places)));
+    agent_.received(served_link, connection_request{"successor", false}, now_);
+    EXPECT_TRUE(agent_.served_addresses().contains("successor"));
+    advance_time(agent_limits{}.connection_request_duration);
+    EXPECT_EQ(agent_.served_addresses(), std::set<std::string>{own_address});
+}
+
 // Guards against an entry that loses its agents with its session: it still accepts jobs that are not stored.
 TEST_F(entry_subset_agent_test, keeps_the_link_to_an_entry_that_is_not_listed) {
     const auto start = take_order<start_order>();
