Play random histories with all scheduling features

Cause: each feature has histories of its own, but the features act on the same messages. Change: one more kind of history has all four on, with lost requests, late orders and failing runs.

--- a/tests/dispatch_simulation_test.cpp
+++ b/tests/dispatch_simulation_test.cpp
@@ -99,6 +99,24 @@
     run_histories(chosen);
 }
 
+// Guards against a guarantee that one scheduling feature upholds only while another one is off.
+TEST(dispatch_histories, keep_the_guarantees_with_all_scheduling_features) {
+    dispatch_simulation::options chosen;
+    chosen.forecasts_admission = true;
+    chosen.forecasts_placement = true;
+    chosen.orders_runs_by_urgency = true;
+    chosen.borrows_agents = true;
+    chosen.entries = 5;
+    chosen.max_entries = 3;
+    chosen.jobs = 200;
+    chosen.agents = 3;
+    chosen.late_order_fraction = 0.03;
+    chosen.failing_fraction = 0.2;
+    chosen.labelled_fraction = 0.1;
+    chosen.lost_request_fraction = 0.1;
+    run_histories(chosen);
+}
+
 // Guards against a guarantee that depends on the order of arrival or on the queue timeout of agents.
 TEST(dispatch_histories, keep_the_guarantees_under_overload_with_run_queues_by_urgency) {
     dispatch_simulation::options chosen;
