Replace the RESTinio server by one that bounds its input

Cause: RESTinio keeps a record for each chunk of a body, limits each request alone, and stops accepting at the largest number of connections until one of them ends. Nothing limits the sum of what unfinished requests hold.

Change: http_server keeps its interface and gets an HTTP/1.1 server of our own on Asio and http_parser. Each socket has a fixed share of request_memory_mb and of the descriptors. Unfinished requests without progress are closed first; a request that finds no memory gets 503 and has not run. Settings request_memory_mb, max_connections and no_progress_ms, a metric and a log line by reason.

--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -1,9 +1,11 @@
 #include "daemon/agent_daemon.h"
 
+#include "daemon/input_shares.h"
 #include "daemon/receive_frame.h"
 #include "protocol/announcement_json.h"
 #include "protocol/job_response.h"
 #include "state/limits.h"
+#include "transport/input_metrics.h"
 #include "transport/logging.h"
 
 #include <iterator>
@@ -87,9 +89,7 @@
               }} {
     backends_ = std::make_unique<backend_client>(
         clock_, [this](const std::vector<backend_client::ended_call>& ended) { process_ended_calls(ended); });
-    http_limits limits;
-    limits.max_body_bytes = max_announcement_bytes;
-    limits.max_connections = 256;
+    const http_limits limits = caller_limits(settings_, max_announcement_bytes);
     http_ = std::make_unique<http_server>(settings_.http_address, http_threads, limits,
                                           [this](const http_request& request, const http_responder& respond) {
                                               handle_http(request, respond);
@@ -427,7 +427,8 @@
         return is_ready ? text_response(200, "ready\n") : text_response(503, "not ready\n");
     }
     if (path == "/metrics") {
-        http_response response = text_response(200, metrics_.prometheus_text());
+        http_response response =
+            text_response(200, metrics_.prometheus_text() + input_metrics::instance().prometheus_text());
         response.content_type = prometheus_content_type;
         return response;
     }
--- a/daemon/entry_api.cpp
+++ b/daemon/entry_api.cpp
@@ -4,6 +4,7 @@
 #include "protocol/job_response.h"
 #include "state/limits.h"
 #include "state/uuid_time.h"
+#include "transport/input_metrics.h"
 
 #include <charconv>
 #include <optional>
@@ -140,7 +141,8 @@
     if (path == "/readyz")
         return daemon_.is_ready() ? plain(200, "ready\n") : plain(503, "not ready\n");
     if (path == "/metrics") {
-        http_response response = plain(200, metrics_.prometheus_text());
+        http_response response =
+            plain(200, metrics_.prometheus_text() + input_metrics::instance().prometheus_text());
         response.content_type = prometheus_content_type;
         return response;
     }
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_daemon.h"
 
+#include "daemon/input_shares.h"
 #include "daemon/receive_frame.h"
 #include "protocol/fleet_document.h"
 #include "protocol/ip_endpoint.h"
@@ -20,8 +21,8 @@
 constexpr const char* component = "entry";
 constexpr milliseconds tick_interval{20};
 constexpr std::size_t http_threads = 2;
-// RESTinio closes a connection whose request body exceeds this. Bodies between max_request_body_bytes and
-// this get a 413 response.
+// The server refuses larger bodies itself. Bodies between max_request_body_bytes and this get the response of
+// the interface.
 constexpr std::size_t max_http_body_bytes = 2 * max_request_body_bytes;
 
 incarnation new_incarnation(const std::string& name) {
@@ -91,8 +92,7 @@
                                                                    [this] {
                                                                        return is_ready_ && !is_draining_;
                                                                    }});
-    http_limits limits;
-    limits.max_body_bytes = max_http_body_bytes;
+    const http_limits limits = caller_limits(settings_, max_http_body_bytes);
     http_ = std::make_unique<http_server>(settings_.http_address, http_threads, limits,
                                           [this](const http_request& request, const http_responder& respond) {
                                               api_->handle(request, respond);
--- /dev/null
+++ b/daemon/input_shares.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "protocol/daemon_settings.h"
+#include "transport/http_server.h"
+
+#include <cstddef>
+
+namespace persimmonstile {
+
+// The shares of the process's memory for requests and of its descriptors that its HTTP servers get. Fixed
+// shares keep a crowd at one socket from using up what another one needs.
+
+// For the socket that takes callers' requests or backend servers' reports.
+http_limits caller_limits(const daemon_settings& settings, std::size_t max_body_bytes);
+// For readiness, metrics, and sockets that few clients use.
+http_limits internal_limits(const daemon_settings& settings, std::size_t max_body_bytes);
+
+} // namespace persimmonstile
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -56,6 +56,12 @@
     std::string event_file;
     // Entries only: the peer address that others use, if it is not the one that is bound.
     std::string advertised_peer_address;
+    // Memory in MiB for requests that are received or handled, and responses that are not yet written.
+    std::uint32_t request_memory_mb = 48;
+    // Connections of callers. A quarter of the process's descriptors is always left for other uses.
+    std::uint32_t max_connections = 2000;
+    // Longest pause within a request.
+    std::uint32_t no_progress_ms = 10000;
     // One of trace, debug, info, warn, error.
     std::string log_level = "info";
     // File that spans are appended to, or base URL of an OTLP/HTTP collector; empty for none.
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -49,6 +49,12 @@
     "threads": {"type": "integer", "minimum": 1, "maximum": 256, "description": "an integer from 1 to 256"},
     "shutdown_timeout_ms": {"type": "integer", "minimum": 0, "maximum": 3600000,
                             "description": "an integer from 0 to 3600000"},
+    "request_memory_mb": {"type": "integer", "minimum": 16, "maximum": 1048576,
+                          "description": "an integer from 16 to 1048576"},
+    "max_connections": {"type": "integer", "minimum": 16, "maximum": 1000000,
+                        "description": "an integer from 16 to 1000000"},
+    "no_progress_ms": {"type": "integer", "minimum": 100, "maximum": 600000,
+                       "description": "an integer from 100 to 600000"},
     "log_level": {"enum": ["trace", "debug", "info", "warn", "error"],
                   "description": "one of \"trace\", \"debug\", \"info\", \"warn\", \"error\""},
     "event_file": {"type": "string", "description": "a path for recorded events, or an empty string"},
@@ -266,6 +272,9 @@
     read_member(document, "minimum_grantors", settings.minimum_grantors);
     read_member(document, "threads", settings.threads);
     read_member(document, "shutdown_timeout_ms", settings.shutdown_timeout_ms);
+    read_member(document, "request_memory_mb", settings.request_memory_mb);
+    read_member(document, "max_connections", settings.max_connections);
+    read_member(document, "no_progress_ms", settings.no_progress_ms);
     read_member(document, "log_level", settings.log_level);
     read_member(document, "event_file", settings.event_file);
     read_member(document, "advertised_peer_address", settings.advertised_peer_address);
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,246 @@
+#include "transport/http_server.h"
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <asio.hpp>
+#include <gtest/gtest.h>
+
+namespace persimmonstile {
+namespace {
+
+constexpr std::size_t body_limit = 1000;
+
+// A blocking client that sends exactly the given bytes.
+class raw_connection {
+public:
+    explicit raw_connection(const std::string& address)
+        : socket_{context_} {
+        const std::size_t colon = address.rfind(':');
+        socket_.connect({asio::ip::make_address(address.substr(0, colon)),
+                         static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))});
+    }
+
+    void send(const std::string& bytes) {
+        asio::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
+    // Everything up to the text, or up to the end of the connection.
+    std::string read_until(const std::string& text) {
+        asio::error_code error;
+        while (!error && received_.find(text) == std::string::npos)
+            asio::read(socket_, asio::dynamic_buffer(received_), asio::transfer_at_least(1), error);
+        is_ended_ = is_ended_ || error;
+        const std::size_t found = received_.find(text);
+        if (found == std::string::npos)
+            return std::exchange(received_, {});
+        std::string result = received_.substr(0, found + text.size());
+        received_.erase(0, found + text.size());
+        return result;
+    }
+
+    std::string read_to_end() { return read_until("no response contains this"); }
+    bool is_ended() const { return is_ended_; }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::socket socket_;
+    std::string received_;
+    bool is_ended_ = false;
+};
+
+class http_server_test : public testing::Test {
+protected:
+    static http_limits limits() {
+        http_limits result;
+        result.max_body_bytes = body_limit;
+        result.kept_headers = {"X-Extra"};
+        return result;
+    }
+
+    // Answers with what it has received; the text "end" marks the end of the answer.
+    static void echo(const http_request& request, const http_responder& respond) {
+        http_response response;
+        response.body = request.method + ' ' + request.path + '?' + request.query + ' ' +
+                        request.header("X-Extra") + ' ' + request.body + " end";
+        respond(std::move(response));
+    }
+};
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+// Guards against a parser that needs a head, a chunk or a body to arrive in one piece.
+TEST_F(http_server_test, joins_requests_that_arrive_byte_by_byte) {
+    http_server server{"127.0.0.1:0", 1, limits(), echo};
+    raw_connection client{server.address()};
+    const std::string request =
+        "POST /a%20b?x=1 HTTP/1.1\r\nx-extra: here\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n2;name=value\r\nbc\r\n0\r\nTrailer: x\r\n\r\n";
+    for (int round = 0; round < 2; ++round) {
+        for (const char byte : request)
+            client.send({byte});
+        const std::string answer = client.read_until(" end");
+        EXPECT_TRUE(contains(answer, "200 OK")) << answer;
+        EXPECT_TRUE(contains(answer, "POST /a%20b?x=1 here abc end")) << answer;
+    }
+}
+
+// Guards against answers in another order than that of the requests, and a request that is lost behind the
+// largest number that may wait.
+TEST_F(http_server_test, answers_pipelined_requests_in_order) {
+    std::vector<http_responder> waiting;
+    std::size_t answered = 0;
+    asio::io_context context{1};
+    http_server server{context, "127.0.0.1:0", limits(),
+                       [&](const http_request& request, http_responder respond) {
+                           EXPECT_LE(waiting.size() - answered, 3U);
+                           waiting.push_back([path = request.path, respond](http_response response) {
+                               response.body = path + " end";
+                               respond(std::move(response));
+                           });
+                       }};
+    std::string requests;
+    for (int i = 0; i < 10; ++i)
+        requests += "GET /" + std::to_string(i) + " HTTP/1.1\r\n\r\n";
+    std::string answers;
+    std::thread client_thread{[&] {
+        raw_connection client{server.address()};
+        client.send(requests);
+        answers = client.read_until("/9 end");
+        asio::post(context, [&] { context.stop(); });
+    }};
+    // Answers in reverse whenever nothing else is left to do.
+    const std::function<void()> answer_all = [&] {
+        const std::size_t before = answered;
+        answered = waiting.size();
+        for (std::size_t i = waiting.size(); i > before; --i)
+            waiting[i - 1]({});
+        asio::post(context, answer_all);
+    };
+    asio::post(context, answer_all);
+    context.run();
+    client_thread.join();
+    std::size_t position = 0;
+    for (int i = 0; i < 10; ++i) {
+        position = answers.find('/' + std::to_string(i) + " end", position);
+        EXPECT_NE(position, std::string::npos) << i;
+    }
+}
+
+// Guards against a refusal that the client loses to a reset, or that does not name its reason.
+TEST_F(http_server_test, refuses_requests_beyond_the_limits) {
+    http_server server{"127.0.0.1:0", 2, limits(), echo};
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'a'), "413"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'a') +
+             "\r\n0\r\n\r\n",
+         "413"},
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+        {"nothing of HTTP\r\n\r\n", "400"},
+        {"GET /" + std::string(5000, 'a') + " HTTP/1.1\r\n\r\n", "414"},
+        {"GET / HTTP/1.1\r\nX: " + std::string(9000, 'a') + "\r\n\r\n", "431"},
+        {"GET / HTTP/1.1\r\n" + std::string(300, 'a') + ": a\r\n\r\n", "431"},
+    };
+    for (const auto& [bytes, status] : cases) {
+        raw_connection client{server.address()};
+        client.send(bytes);
+        const std::string answer = client.read_to_end();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + status)) << bytes.substr(0, 60) << '\n' << answer;
+        EXPECT_TRUE(contains(answer, "Connection: close")) << answer;
+    }
+}
+
+TEST_F(http_server_test, serves_the_largest_body_after_it_was_asked_to_continue) {
+    http_server server{"127.0.0.1:0", 1, limits(), echo};
+    raw_connection client{server.address()};
+    client.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n");
+    EXPECT_TRUE(contains(client.read_until("\r\n\r\n"), "100 Continue"));
+    client.send(std::string(body_limit, 'b'));
+    EXPECT_TRUE(contains(client.read_until(" end"), std::string(body_limit, 'b')));
+}
+
+// Guards against unfinished requests that use up the memory, or keep others from being served.
+TEST_F(http_server_test, closes_stalled_requests_when_the_memory_is_used_up) {
+    http_limits few = limits();
+    few.max_body_bytes = 20'000;
+    few.max_held_bytes = 60'000;
+    http_server server{"127.0.0.1:0", 1, few, echo};
+    std::vector<std::unique_ptr<raw_connection>> crowd;
+    for (int i = 0; i < 10; ++i) {
+        crowd.push_back(std::make_unique<raw_connection>(server.address()));
+        crowd.back()->send("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(19'999, 'a'));
+    }
+    raw_connection client{server.address()};
+    client.send("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(20'000, 'c'));
+    EXPECT_TRUE(contains(client.read_until(" end"), "ccc end"));
+    crowd.front()->read_to_end();
+    EXPECT_TRUE(crowd.front()->is_ended());
+}
+
+// Guards against requests in handling that are closed to make room, and a refusal that is not answered.
+TEST_F(http_server_test, refuses_a_request_when_those_in_handling_use_up_the_memory) {
+    http_limits few = limits();
+    few.max_body_bytes = 20'000;
+    few.max_held_bytes = 30'000;
+    http_responder first;
+    asio::io_context context{1};
+    http_server server{context, "127.0.0.1:0", few, [&](const http_request&, const http_responder& respond) {
+                           first = respond;
+                       }};
+    std::thread server_thread{[&] {
+        context.run();
+    }};
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(20'000, 'a');
+    raw_connection in_handling{server.address()};
+    in_handling.send(request);
+    while (server.open_requests() == 0)
+        std::this_thread::yield();
+    raw_connection refused{server.address()};
+    refused.send(request);
+    EXPECT_TRUE(refused.read_to_end().starts_with("HTTP/1.1 503"));
+    asio::post(context, [&] {
+        http_response response;
+        response.body = "handled end";
+        first(std::move(response));
+    });
+    EXPECT_TRUE(contains(in_handling.read_until(" end"), "handled end"));
+    asio::post(context, [&] { context.stop(); });
+    server_thread.join();
+}
+
+// Guards against a crowd of connections that keeps others out.
+TEST_F(http_server_test, closes_the_oldest_connection_without_a_request_beyond_the_limit) {
+    http_limits few = limits();
+    few.max_connections = 4;
+    http_server server{"127.0.0.1:0", 1, few, echo};
+    std::vector<std::unique_ptr<raw_connection>> crowd;
+    for (int i = 0; i < 10; ++i)
+        crowd.push_back(std::make_unique<raw_connection>(server.address()));
+    raw_connection client{server.address()};
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(contains(client.read_until(" end"), "200 OK"));
+    crowd.front()->read_to_end();
+    EXPECT_TRUE(crowd.front()->is_ended());
+}
+
+// Guards against a request whose rest never arrives and that is kept until the end of the read timeout.
+TEST_F(http_server_test, closes_a_request_whose_bytes_stop_arriving) {
+    http_limits quick = limits();
+    quick.progress_timeout = std::chrono::milliseconds{100};
+    quick.read_timeout = std::chrono::hours{1};
+    http_server server{"127.0.0.1:0", 1, quick, echo};
+    raw_connection client{server.address()};
+    client.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    EXPECT_EQ(client.read_to_end(), "");
+    EXPECT_TRUE(client.is_ended());
+}
+
+} // namespace
+} // namespace persimmonstile
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -55,15 +55,20 @@
 // Bounds on what clients may use up.
 struct http_limits {
     std::size_t max_body_bytes = 0;
+    // Beyond this, the connection is closed that has been without progress for longest.
     std::size_t max_connections = 4096;
+    // Of requests that are received or handled, and responses that are not yet written, of all connections.
+    std::size_t max_held_bytes = std::size_t{256} * 1024 * 1024;
     // Time for a client to send a whole request, and to read the response.
     std::chrono::milliseconds read_timeout{10000};
     std::chrono::milliseconds write_timeout{10000};
+    // Longest pause within a request.
+    std::chrono::milliseconds progress_timeout{10000};
     // Names of the request headers that the handler reads.
     std::vector<std::string> kept_headers;
 };
 
-// HTTP/1.1 server on RESTinio.
+// HTTP/1.1 server. Refuses requests and closes connections that exceed its limits.
 class http_server {
 public:
     // With threads of its own. address is "ip:port". Throws std::exception if it cannot be bound.
