--- a/daemon/entry_daemon.h
+++ b/daemon/entry_daemon.h
@@ -18,6 +18,7 @@
 #include "transport/io_threads.h"
 #include "transport/metrics.h"
 #include "transport/tracing.h"
+#include "transport/unidentified_connections.h"
 
 #include <atomic>
 #include <map>
@@ -91,6 +92,7 @@
     io_threads io_;
     asio::strand<asio::io_context::executor_type> control_;
     asio::steady_timer tick_timer_;
+    unidentified_connections unidentified_;
     frame_listener listener_;
     std::string peer_address_;
     peer_dialer dialer_;
--- a/daemon/peer_links.h
+++ b/daemon/peer_links.h
@@ -6,6 +6,7 @@
 #include "state/work_message.h"
 #include "transport/frame_connection.h"
 #include "transport/frame_listener.h"
+#include "transport/unidentified_connections.h"
 
 #include <functional>
 #include <map>
@@ -54,6 +55,7 @@
     const clock_source& clock_;
     handlers on_event_;
     std::unique_ptr<frame_listener> listener_;
+    unidentified_connections unidentified_;
     peer_dialer dialer_;
     // An open connection.
     struct open_link {
--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -1,7 +1,9 @@
 #include "transport/frame_connection.h"
 
 #include "state/limits.h"
+#include "transport/input_metrics.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -12,6 +14,14 @@
 // Largest accepted payload: a job's body plus room for its other fields.
 constexpr std::size_t max_payload = 4 * max_request_body_bytes;
 
+// Limit for the first frame of a connection. It names the peer and its state; larger ones follow later.
+constexpr std::size_t max_first_payload = max_request_body_bytes / 4;
+
+// Limit for the bytes of incomplete frames of all connections of the process: one of the largest size, and
+// half as much for the others.
+constexpr std::size_t max_incomplete = max_payload + max_payload / 2;
+std::atomic<std::size_t> incomplete_bytes{0};
+
 // A peer that does not read is cut off here, so that its frames cannot fill the memory.
 constexpr std::size_t max_pending = 16 * max_request_body_bytes;
 
@@ -41,6 +51,10 @@
     socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
 }
 
+frame_connection::~frame_connection() {
+    release_incomplete();
+}
+
 void frame_connection::start(frame_handler on_frame, close_handler on_close) {
     on_frame_ = std::move(on_frame);
     on_close_ = std::move(on_close);
@@ -102,22 +116,51 @@
     bytes_received_ += count;
     if (incoming_.empty()) {
         const std::size_t taken = take_frames({chunk_.data(), count});
-        if (!closed_)
-            incoming_.append(chunk_.data() + taken, count - taken);
-    } else {
-        incoming_.append(chunk_.data(), count);
-        incoming_.erase(0, take_frames(incoming_));
+        if (!closed_ && taken < count)
+            keep_incomplete({chunk_.data() + taken, count - taken});
+    } else if (keep_incomplete({chunk_.data(), count})) {
+        const std::size_t taken = take_frames(incoming_);
+        incoming_.erase(0, taken);
+        if (incoming_.empty())
+            incoming_ = {};
+        const std::size_t released = std::min(taken, held_bytes_);
+        held_bytes_ -= released;
+        incomplete_bytes -= released;
     }
     if (!closed_)
         read_some();
 }
 
+// Returns false, and closes the connection, if the memory for incomplete frames is used up.
+bool frame_connection::keep_incomplete(std::string_view bytes) {
+    if ((incomplete_bytes += bytes.size()) > max_incomplete) {
+        incomplete_bytes -= bytes.size();
+        input_metrics::instance().add(input_refusal::memory);
+        do_close("too many bytes of incomplete frames");
+        return false;
+    }
+    held_bytes_ += bytes.size();
+    // Reserving the whole frame avoids a buffer of twice its size.
+    if (incoming_.size() < header_size && incoming_.size() + bytes.size() >= header_size) {
+        incoming_.append(bytes);
+        incoming_.reserve(std::min(read_length(incoming_.data()), max_payload) + header_size + read_chunk);
+    } else {
+        incoming_.append(bytes);
+    }
+    return true;
+}
+
+void frame_connection::release_incomplete() {
+    incomplete_bytes -= std::exchange(held_bytes_, 0);
+}
+
 // Handles the whole frames. Returns how many bytes they have.
 std::size_t frame_connection::take_frames(std::string_view bytes) {
     std::size_t position = 0;
     while (!closed_ && bytes.size() - position >= header_size) {
         const std::size_t length = read_length(bytes.data() + position);
-        if (length > max_payload) {
+        if (length > (is_identified_ ? max_payload : max_first_payload)) {
+            input_metrics::instance().add(input_refusal::body_too_large);
             do_close("a frame exceeds the size limit");
             break;
         }
@@ -126,8 +169,10 @@
         const auto kind = static_cast<frame_kind>(bytes[position + 4]);
         const std::string_view payload{bytes.data() + position + header_size, length};
         position += header_size + length;
-        if (kind != frame_kind::heartbeat)
+        if (kind != frame_kind::heartbeat) {
             on_frame_(kind, payload);
+            is_identified_ = true;
+        }
     }
     return position;
 }
@@ -190,6 +235,8 @@
         on_close_(reason);
     // The handlers usually hold the owner of this connection.
     asio::post(strand_, [self = shared_from_this()] {
+        self->incoming_ = {};
+        self->release_incomplete();
         self->on_frame_ = nullptr;
         self->on_close_ = nullptr;
     });
--- a/transport/frame_connection.h
+++ b/transport/frame_connection.h
@@ -28,6 +28,9 @@
     using close_handler = std::function<void(const std::string&)>;
 
     frame_connection(asio::ip::tcp::socket socket, const clock_source& clock);
+    ~frame_connection();
+    frame_connection(const frame_connection&) = delete;
+    frame_connection& operator=(const frame_connection&) = delete;
 
     void start(frame_handler on_frame, close_handler on_close);
 
@@ -40,6 +43,9 @@
     void close_gracefully();
     void close(const std::string& reason);
 
+    // A frame other than a heartbeat has been received.
+    bool is_identified() const { return is_identified_; }
+
     // Bytes of payload and framing so far.
     std::size_t bytes_sent() const { return bytes_sent_; }
     std::size_t bytes_received() const { return bytes_received_; }
@@ -51,6 +57,8 @@
     void read_some();
     void received(std::size_t count);
     std::size_t take_frames(std::string_view bytes);
+    bool keep_incomplete(std::string_view bytes);
+    void release_incomplete();
     void write_pending();
     void schedule_heartbeat();
     void check_silence();
@@ -67,6 +75,8 @@
     std::array<char, read_chunk> chunk_{};
     // Begin of a frame whose rest has not arrived.
     std::string incoming_;
+    // Of incoming_, counted against the limit for the process.
+    std::size_t held_bytes_ = 0;
     std::string writing_;
     time_point last_received_;
     bool closed_ = false;
@@ -76,6 +86,7 @@
     bool write_active_ = false;
     bool closing_ = false;
     std::atomic<bool> sent_since_heartbeat_{false};
+    std::atomic<bool> is_identified_{false};
     std::atomic<std::size_t> bytes_sent_{0};
     std::atomic<std::size_t> bytes_received_{0};
 };
--- a/transport/frame_listener.h
+++ b/transport/frame_listener.h
@@ -26,6 +26,7 @@
     void accept_next();
 
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retry_;
     accept_handler on_accept_;
 };
 
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -34,14 +34,16 @@
     using tcp_socket = http_server_connection::tcp_socket;
 
     implementation(const ip_endpoint& address, std::size_t threads, const http_limits& limits,
-                   const http_handler& handler) {
+                   http_handler handler)
+        : shared_handler_{std::move(handler)} {
         // Each thread has its own connections, so that they need no locks.
         http_limits share = limits;
         share.max_connections = std::max<std::size_t>(1, limits.max_connections / threads);
         share.max_held_bytes = limits.max_held_bytes / threads;
         for (std::size_t i = 0; i < threads; ++i)
-            loops_.push_back(std::make_shared<http_server_loop>(
-                std::make_shared<asio::io_context>(1), share, handler, http_close_handler{}, open_requests_));
+            loops_.push_back(std::make_shared<http_server_loop>(std::make_shared<asio::io_context>(1), share,
+                                                                shared_handler_, http_close_handler{},
+                                                                open_requests_));
         listen(address);
         for (const auto& loop : loops_) {
             guards_.push_back(asio::make_work_guard(loop->context()));
@@ -136,6 +138,8 @@
     using acceptor = asio::basic_socket_acceptor<asio::ip::tcp, http_server_connection::executor>;
 
     std::shared_ptr<std::atomic<std::size_t>> open_requests_ = std::make_shared<std::atomic<std::size_t>>(0);
+    // Copied to each loop of a server with threads of its own.
+    http_handler shared_handler_;
     std::vector<std::shared_ptr<http_server_loop>> loops_;
     std::vector<asio::executor_work_guard<http_server_connection::executor>> guards_;
     std::vector<std::thread> threads_;
--- a/transport/http_server_connection.cpp
+++ b/transport/http_server_connection.cpp
@@ -1,7 +1,6 @@
 #include "transport/http_server_connection.h"
 
 #include "transport/http_server_loop.h"
-#include "transport/input_metrics.h"
 #include "transport/logging.h"
 
 #include <algorithm>
@@ -230,7 +229,7 @@
     }
 }
 
-void http_server_connection::respond(std::uint64_t number, http_response response,
+void http_server_connection::respond(std::uint64_t number, const http_response& response,
                                      std::shared_ptr<void> open) {
     if (is_closed_)
         return;
--- a/transport/http_server_connection.h
+++ b/transport/http_server_connection.h
@@ -40,7 +40,7 @@
     // May be called repeatedly.
     void close();
     // open is released when the response has been written.
-    void respond(std::uint64_t number, http_response response, std::shared_ptr<void> open);
+    void respond(std::uint64_t number, const http_response& response, std::shared_ptr<void> open);
 
     std::uint64_t id() const { return id_; }
     executor get_executor() { return socket_.get_executor(); }
--- a/transport/http_server_loop.cpp
+++ b/transport/http_server_loop.cpp
@@ -117,8 +117,8 @@
         if (!target)
             return;
         asio::dispatch(target->get_executor(),
-                       [target, number, open, response = std::move(response)]() mutable {
-                           target->respond(number, std::move(response), std::move(open));
+                       [target, number, open = open, response = std::move(response)]() mutable {
+                           target->respond(number, response, std::move(open));
                        });
     });
 }
--- /dev/null
+++ b/transport/unidentified_connections.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "transport/frame_connection.h"
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+namespace persimmonstile {
+
+// Accepted connections whose peer has not sent a frame yet. A peer sends its first frame at once, so the
+// oldest one is closed when there are too many. Thread-safe.
+class unidentified_connections {
+public:
+    explicit unidentified_connections(std::size_t limit = default_limit)
+        : limit_{limit} {}
+
+    void add(const std::shared_ptr<frame_connection>& connection);
+
+private:
+    // Above the number of peers that connect to a restarted entry at once.
+    static constexpr std::size_t default_limit = 128;
+
+    std::size_t limit_;
+    std::mutex mutex_;
+    std::deque<std::weak_ptr<frame_connection>> connections_;
+};
+
+} // namespace persimmonstile
