--- a/coordination/admission/capacity_forecast.cpp
+++ b/coordination/admission/capacity_forecast.cpp
@@ -23,10 +23,10 @@
 
 // A wrong refusal costs its caller the job, a wrong admission only time. The job is refused only if it would
 // be too late even with a wait this much shorter than predicted. The rate of work is known to about 20%.
-constexpr double assumed_wait_fraction = 0.5;
+constexpr double assumed_wait_fraction = 0.8;
 
 // The arrivals of a second vary by about a tenth, so this much of them is certain to go on.
-constexpr double counted_arrival_fraction = 0.5;
+constexpr double counted_arrival_fraction = 0.9;
 
 // A caller that is refused while the queue does not shrink is told to wait no longer than this. It covers the
 // load peaks that callers announce, which last 7 s.
--- a/coordination/entry_admission.cpp
+++ b/coordination/entry_admission.cpp
@@ -14,8 +14,10 @@
     if (!verdict.is_admitted || verdict.is_against_forecast) {
         const bool is_shrinking = verdict.end == predicted_end::too_late;
         const std::string reason = is_shrinking ? "cannot end in time" : "queue does not shrink";
-        std::vector<std::pair<std::string_view, decision::value>> inputs{{"queue", job.record->queue},
-                                                                         {"reason", reason}};
+        std::vector<std::pair<std::string_view, decision::value>> inputs{
+            {"queue", job.record->queue},
+            {"tasks", static_cast<std::int64_t>(job.waiting_tasks)},
+            {"reason", reason}};
         if (!verdict.is_admitted)
             inputs.emplace_back("retry_after_ms", verdict.retry_after.count());
         std::string_view what = "admitted a job against the forecast";
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -50,6 +50,9 @@
     milliseconds refusal_backoff{20};
     // Durable jobs are refused once writes to the store have failed for this long.
     milliseconds store_failure_timeout{300};
+    // Jobs are refused while the open jobs have this many tasks, so that their records cannot exhaust the
+    // memory. Jobs have up to 560 tasks; a record takes about 200 bytes. A setting.
+    std::size_t max_open_tasks = 100000;
     // Minimum interval between two log lines about tasks that wait for capacity.
     milliseconds waiting_log_interval{100};
     // Refuse jobs on arrival by a forecast of the free capacity; a setting.
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -44,6 +44,17 @@
     return added;
 }
 
+std::size_t job_ledger::open_tasks() const {
+    std::size_t tasks = 0;
+    for (const auto& [id, job] : jobs_) {
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const std::vector<ledger_task>& step : occurrence.steps)
+                tasks += step.size();
+        }
+    }
+    return tasks;
+}
+
 void job_ledger::start_next_occurrence(ledger_job& job) {
     ledger_occurrence& occurrence = job.occurrences[job.next_occurrence++];
     for (const job_step& step : job.record->plan.steps) {
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -54,6 +54,9 @@
         const std::function<void(const task_ref& task, const job_step& step, ledger_task& state)>& visit);
     static std::uint32_t count_placeable_tasks(ledger_job& job);
 
+    // Number of tasks of all jobs, in the occurrences that have begun.
+    std::size_t open_tasks() const;
+
     // Starts the occurrences that are due at this Unix time in milliseconds. Returns whether there was one.
     static bool start_due_occurrences(ledger_job& job, std::int64_t unix_time_ms);
 
