Count started late jobs with those in time when late jobs are refused

Cause: when the order of jobs moved to a class of its own, the late job policy got the class before the promotion of started jobs. A task of a started late job then reset the policy, and jobs without room waited until their deadline. Result: load_simulation_test, 9 tests, passes.

--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -108,10 +108,12 @@
         const std::size_t planned = result.runs.size() - planned_before;
         if (waiting_order_ && planned > 0)
             waiting_order_->record_start(next.job->record->queue, now);
-        if (next.value == timeliness::too_late && planned == 0)
+        // A late job that has started counts with those that can be in time, as in the order.
+        const timeliness value = next.class_in_order();
+        if (value == timeliness::too_late && planned == 0)
             result.cannot_finish.push_back(next.job->id);
         late_jobs& late_jobs_of_service = late[service];
-        if (next.value != timeliness::late)
+        if (value != timeliness::late)
             late_jobs_of_service.other_starts += planned;
         else if (planned > 0)
             late_jobs_of_service.has_late_start = true;
