Bound the memory of open jobs by what they need, and refuse no claimed job

Cause: max_open_tasks counted one occurrence of a repeated job and no job of up to 16 tasks, and a job above the bound was told to retry for ever. A job of which a restarted agent's run was claimed counted as never placed, so it could be refused as not run. Both found by review. A claimed run marks its job as placed.

--- a/coordination/caller_reply.h
+++ b/coordination/caller_reply.h
@@ -19,7 +19,8 @@
 //                durable job is in the store.
 enum class caller_reply_kind : std::uint8_t { accepted, refused, uncertain, state, gone, cancelled };
 
-// Why a job was refused.
+// Why a job was refused. cancelled and too_large are final; a job that is refused for another reason may be
+// sent again.
 enum class submit_refusal : std::uint8_t {
     none,
     no_configuration,
@@ -27,7 +28,8 @@
     store_unavailable,
     overloaded,
     shutting_down,
-    cancelled
+    cancelled,
+    too_large
 };
 
 constexpr std::string_view to_string(submit_refusal reason) {
@@ -46,6 +48,8 @@
         return "shutting_down";
     case submit_refusal::cancelled:
         return "cancelled";
+    case submit_refusal::too_large:
+        return "too_large";
     }
     return "none";
 }
--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -13,9 +13,6 @@
 // Delay after which refused callers should retry, if there is no better estimate.
 constexpr milliseconds default_retry_delay{1000};
 
-// A job with more tasks than this is admitted only if the tasks of all open jobs stay within their bound.
-constexpr std::size_t small_job_tasks = 16;
-
 // A caller is answered this long before its timeout at the latest.
 constexpr milliseconds reply_margin{40};
 
@@ -79,7 +76,12 @@
         refuse(request, submit_refusal::no_configuration, default_retry_delay);
         return;
     }
-    if (exceeds_open_tasks(request.plan)) {
+    const std::uint64_t needed_bytes = request.plan.estimated_bytes();
+    if (needed_bytes > limits_.max_job_bytes) {
+        refuse(request, submit_refusal::too_large, milliseconds{0});
+        return;
+    }
+    if (ledger_.estimated_bytes() + needed_bytes > limits_.max_job_bytes) {
         refuse(request, submit_refusal::overloaded, default_retry_delay);
         return;
     }
@@ -102,14 +104,6 @@
     commits_.add({request.job, acceptance_commit{record}}, now);
 }
 
-// Small jobs are not counted one by one: they are bounded by the connections of their callers.
-bool entry_core::exceeds_open_tasks(const job_plan& plan) const {
-    std::size_t tasks = 0;
-    for (const job_step& step : plan.steps)
-        tasks += step.task_count;
-    return tasks > small_job_tasks && tasks + ledger_.open_tasks() > limits_.max_open_tasks;
-}
-
 // Accepts a non-durable job. Nothing is written to the store, and its runs are stopped when its last caller
 // leaves.
 void entry_core::submit_non_durable(const job_submission& request, const queue_policy& queue,
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -151,7 +151,6 @@
     void end_job(ledger_job& job, job_state state, time_point now);
     void stop_runs_of(const ledger_job& job);
     void submit_non_durable(const job_submission& request, const queue_policy& queue, time_point now);
-    bool exceeds_open_tasks(const job_plan& plan) const;
     void finish_non_durable(ledger_job& job, job_state state, time_point now);
     void log_job_end(const ledger_job& job, time_point now);
     void drop_non_durable(const job_id& id, time_point now);
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -4,7 +4,7 @@
 #include "state/limits.h"
 #include "state/time.h"
 
-#include <cstddef>
+#include <cstdint>
 
 namespace persimmonstile {
 
@@ -50,9 +50,9 @@
     milliseconds refusal_backoff{20};
     // Durable jobs are refused once writes to the store have failed for this long.
     milliseconds store_failure_timeout{300};
-    // Jobs are refused while the open jobs have this many tasks, so that their records cannot exhaust the
-    // memory. Jobs have up to 560 tasks; a record takes about 200 bytes. A setting.
-    std::size_t max_open_tasks = 100000;
+    // Jobs are refused while the records of the open jobs need this much memory: a small body can ask for a
+    // million tasks. About 100,000 tasks; a job has up to 560. A setting.
+    std::uint64_t max_job_bytes = std::uint64_t{24} * 1024 * 1024;
     // Minimum interval between two log lines about tasks that wait for capacity.
     milliseconds waiting_log_interval{100};
     // Refuse jobs on arrival by a forecast of the free capacity; a setting.
--- a/coordination/job_ledger.cpp
+++ b/coordination/job_ledger.cpp
@@ -37,6 +37,7 @@
     added.record_session = record_session;
     added.last_predecessor_run = last_predecessor_run;
     added.accepted = now;
+    estimated_bytes_ += added.record->plan.estimated_bytes();
     added.occurrences_left = added.record->plan.occurrence_count();
     if (added.record->plan.repeat_count == 0)
         start_next_occurrence(added);
@@ -44,17 +45,6 @@
     return added;
 }
 
-std::size_t job_ledger::open_tasks() const {
-    std::size_t tasks = 0;
-    for (const auto& [id, job] : jobs_) {
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (const std::vector<ledger_task>& step : occurrence.steps)
-                tasks += step.size();
-        }
-    }
-    return tasks;
-}
-
 void job_ledger::start_next_occurrence(ledger_job& job) {
     ledger_occurrence& occurrence = job.occurrences[job.next_occurrence++];
     for (const job_step& step : job.record->plan.steps) {
@@ -104,11 +94,16 @@
 }
 
 void job_ledger::erase(const job_id& job) {
-    jobs_.erase(job);
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end())
+        return;
+    estimated_bytes_ -= found->second.record->plan.estimated_bytes();
+    jobs_.erase(found);
 }
 
 void job_ledger::clear() {
     jobs_.clear();
+    estimated_bytes_ = 0;
 }
 
 ledger_task* job_ledger::find_task(ledger_job& job, const task_ref& task) {
@@ -146,6 +141,8 @@
         task->agent = agent;
         set_phase(job, *task, task_phase::placed);
         task->placed = now;
+        if (!job.first_placed_at)
+            job.first_placed_at = now;
     }
     const bool is_current = is_in_progress(*task) && run == task->run;
     if (is_current && task->agent != agent)
--- a/coordination/job_ledger.h
+++ b/coordination/job_ledger.h
@@ -54,8 +54,8 @@
         const std::function<void(const task_ref& task, const job_step& step, ledger_task& state)>& visit);
     static std::uint32_t count_placeable_tasks(ledger_job& job);
 
-    // Number of tasks of all jobs, in the occurrences that have begun.
-    std::size_t open_tasks() const;
+    // Sum of job_plan::estimated_bytes over all jobs.
+    std::uint64_t estimated_bytes() const { return estimated_bytes_; }
 
     // Starts the occurrences that are due at this Unix time in milliseconds. Returns whether there was one.
     static bool start_due_occurrences(ledger_job& job, std::int64_t unix_time_ms);
@@ -72,6 +72,7 @@
     static void apply_progress(ledger_job& job);
 
     std::unordered_map<job_id, ledger_job> jobs_;
+    std::uint64_t estimated_bytes_ = 0;
 };
 
 } // namespace persimmonstile
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -91,8 +91,8 @@
     std::uint32_t retention_s = 120;
     // A process that was asked to end is killed after this time.
     std::uint32_t grace_s = 6;
-    // Entries only: jobs are refused while the open jobs have this many tasks.
-    std::uint32_t max_open_tasks = 100000;
+    // Entries only: memory for the records of open jobs, in MiB.
+    std::uint32_t job_memory_mb = 24;
     // Entries only.
     admission_kind admission = admission_kind::wait;
     placement_kind placement = placement_kind::free_capacity;
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -78,8 +78,8 @@
     "retention_s": {"type": "integer", "minimum": 1, "maximum": 86400,
                     "description": "an integer from 1 to 86400"},
     "grace_s": {"type": "integer", "minimum": 1, "maximum": 3600, "description": "an integer from 1 to 3600"},
-    "max_open_tasks": {"type": "integer", "minimum": 1000, "maximum": 100000000,
-                       "description": "an integer from 1000 to 100000000"},
+    "job_memory_mb": {"type": "integer", "minimum": 1, "maximum": 1048576,
+                      "description": "an integer from 1 to 1048576"},
     "admission": {"enum": ["wait", "forecast"], "description": "\"wait\" or \"forecast\""},
     "placement": {"enum": ["free_capacity", "forecast"],
                   "description": "\"free_capacity\" or \"forecast\""},
@@ -295,7 +295,7 @@
     read_member(document, "remote_data_factor", settings.remote_data_factor);
     read_member(document, "retention_s", settings.retention_s);
     read_member(document, "grace_s", settings.grace_s);
-    read_member(document, "max_open_tasks", settings.max_open_tasks);
+    read_member(document, "job_memory_mb", settings.job_memory_mb);
     settings.admission =
         document.value("admission", "wait") == "forecast" ? admission_kind::forecast : admission_kind::wait;
     settings.placement = document.value("placement", "free_capacity") == "forecast"
--- a/state/job_plan.h
+++ b/state/job_plan.h
@@ -24,6 +24,16 @@
     bool is_durable = true;
 
     std::uint32_t occurrence_count() const { return repeat_count == 0 ? 1 : repeat_count; }
+    // Memory that the owner of the job needs for it, in bytes, when all its occurrences have begun.
+    std::uint64_t estimated_bytes() const {
+        constexpr std::uint64_t bytes_per_job = 1000;
+        constexpr std::uint64_t bytes_per_step = 200;
+        constexpr std::uint64_t bytes_per_task = 200;
+        std::uint64_t bytes = bytes_per_step * steps.size();
+        for (const job_step& step : steps)
+            bytes += bytes_per_task * step.task_count;
+        return bytes_per_job + payload.size() + bytes * occurrence_count();
+    }
 
     static constexpr auto members() {
         return std::make_tuple(&job_plan::payload, &job_plan::steps, &job_plan::repeat_count,
