Forget a passed-over queue when nothing waits

Cause: the order of waiting jobs was not told when nothing waits, so the first job of a queue after a gap went ahead of urgent ones. Found by review; only with admission = forecast. Change: the planning pass without waiting jobs clears the waits.

--- a/coordination/admission/admission_control.h
+++ b/coordination/admission/admission_control.h
@@ -16,7 +16,7 @@
 
 namespace persimmonstile {
 
-// Whether a job is admitted.
+// The decision about one arriving job, with its reason.
 struct admission_verdict {
     bool is_admitted = true;
     // Admitted although the forecast says that it ends too late.
--- a/coordination/admission/waiting_order.h
+++ b/coordination/admission/waiting_order.h
@@ -18,8 +18,10 @@
     // gets a start within this time still serves some of its callers.
     static constexpr milliseconds max_queue_wait{400};
 
-    // Sorts all waiting jobs by precedence.
+    // jobs are all waiting jobs of the entry.
     void sort(std::vector<waiting_job>& jobs, time_point now);
+    // No job waits any more, so no queue has been passed over.
+    void clear() { waiting_since_.clear(); }
     // A task of a job of the queue was placed.
     void record_start(const std::string& queue, time_point now);
 
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -234,6 +234,7 @@
         confirm_ownership();
     if (waiting.empty()) {
         unmet_demands_.clear();
+        planner_.clear_waiting();
         return;
     }
     const run_plan plan = planner_.plan(waiting, agents_, run_time_model_, *config_, now);
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -67,9 +67,13 @@
             placement_->record_return(since_sent);
     }
 
-
     // Orders the jobs by priority and slack from now on. Their refusal is left to the caller.
     void use_waiting_order() { waiting_order_.emplace(); }
+    // No job waits any more.
+    void clear_waiting() {
+        if (waiting_order_)
+            waiting_order_->clear();
+    }
     // Factor by which the run time of a task of the step grows because its data is on another rack; 1 if
     // tasks are placed by speed and free capacity, which leaves the distance to the learnt speed of the
     // agent.
--- a/tests/admission_forecast_test.cpp
+++ b/tests/admission_forecast_test.cpp
@@ -85,6 +85,16 @@
     EXPECT_EQ(sorted(jobs), "abc");
 }
 
+// Guards against a queue that counts as passed over because of a wait that has ended.
+TEST_F(waiting_order_test, forgets_a_wait_that_has_ended) {
+    const std::vector<waiting_job> jobs{job("a", timeliness::in_time, 0, 1ms),
+                                        job("b", timeliness::in_time, 2, 1ms)};
+    sorted(jobs);
+    now_ += 2 * waiting_order::max_queue_wait;
+    order_.clear();
+    EXPECT_EQ(sorted(jobs), "ab");
+}
+
 // Guards against capacity for a job whose caller has no use for its end, because its queue was passed over.
 TEST_F(waiting_order_test, prefers_no_useless_job_of_a_queue_that_was_passed_over) {
     const std::vector<waiting_job> jobs{job("a", timeliness::in_time, 0, 1ms),
