Take no trailer for a header of the next request

Cause: http_parser makes no callback after the last trailer, so its name and value stayed stored when the request was complete and became the first header of the next request on the connection. Change: the state of the header is reset at the end of a request, and values of trailers are not stored. Result: does_not_take_trailers_for_headers fails before and passes now; http_server_test passes (9 tests).

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -91,6 +91,16 @@
     }
 }
 
+// Guards against request smuggling: a trailer that is taken for a header of this request or of the next one.
+TEST_F(http_server_test, does_not_take_trailers_for_headers) {
+    http_server server{"127.0.0.1:0", 1, limits(), echo};
+    raw_connection client{server.address()};
+    client.send("POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Extra: a\r\nX-Extra: b\r\n\r\n"
+                "GET /2 HTTP/1.1\r\nHost: c\r\n\r\n");
+    EXPECT_TRUE(contains(client.read_until(" end"), "POST /1?   end"));
+    EXPECT_TRUE(contains(client.read_until(" end"), "GET /2?   end"));
+}
+
 // Guards against answers in another order than that of the requests, and a request that is lost behind the
 // largest number that may wait.
 TEST_F(http_server_test, answers_pipelined_requests_in_order) {
--- a/transport/http_server_connection.cpp
+++ b/transport/http_server_connection.cpp
@@ -212,6 +212,13 @@
     exchanges_.push_back(std::move(next));
     http_request request = std::exchange(request_, {});
     target_ = {};
+    // The parser makes no callback after the last trailer, which must not become a header of the next
+    // request.
+    field_ = {};
+    value_ = {};
+    value_bytes_ = 0;
+    is_value_ = false;
+    is_value_kept_ = false;
     body_capacity_ = 0;
     field_count_ = 0;
     is_complete_ = false;
@@ -403,7 +410,7 @@
 }
 
 int http_server_connection::field_part(const char* data, std::size_t size) {
-    // Trailing fields of a chunked body are checked like others, and nobody reads them.
+    // Trailing fields of a chunked body count against the limits on headers, and their values are dropped.
     if (is_value_ || field_count_ == 0) {
         header_complete();
         ++field_count_;
@@ -417,14 +424,15 @@
     return 0;
 }
 
-// Values that nobody reads are not stored.
+// Stores the values of the headers that the handler reads, and no trailers.
 int http_server_connection::value_part(const char* data, std::size_t size) {
     if (!is_value_) {
         is_value_ = true;
         const std::vector<std::string>& kept = loop_->limits().kept_headers;
-        is_value_kept_ = equals(field_, traceparent_header) || equals(field_, "Expect") ||
-                         std::any_of(kept.begin(), kept.end(),
-                                     [&](const std::string& name) { return equals(field_, name); });
+        is_value_kept_ = (parser_.flags & F_TRAILING) == 0 &&
+                         (equals(field_, traceparent_header) || equals(field_, "Expect") ||
+                          std::any_of(kept.begin(), kept.end(),
+                                      [&](const std::string& name) { return equals(field_, name); }));
     }
     value_bytes_ += size;
     if (value_bytes_ > max_field_value_bytes) {
