Keep connections open when the server stops accepting

Cause: a connection accepted just before the acceptor was closed led to another accept on the closed acceptor, whose failure was taken for a lack of descriptors and closed an open connection. Change: the accept handler returns when the acceptor is not open. A connection that was accepted is served.

--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -115,6 +115,11 @@
                                    [loop, id = ++last_connection_, socket = std::move(socket)]() mutable {
                                        loop->accepted(std::move(socket), id);
                                    });
+                }
+                // Not a lack of descriptors, for which accept_failed() closes a connection.
+                if (!acceptor_->is_open())
+                    return;
+                if (!error) {
                     accept_next();
                     return;
                 }
