Limit unfinished requests behind those in handling, and answer all requests before closing

Causes: a connection with a request in handling could hold the begin of the next one without any limit in time and was never chosen to make room. A response that closes the connection dropped later requests in handling, and closed with unread bytes, which resets the connection. 100 Continue was skipped for good while another response was written. A blank line after a request counted as the begin of one. Change: an unfinished request behind those in handling is refused with 408 or 503, and the connection ends after the earlier responses. A response that closes the connection ends reading; requests in handling are answered first, and every last response is followed by the same wait for the client's end as a refusal. 100 Continue is sent as soon as nothing else is written. A request begins with its first byte that is no line end.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include "transport/http_server.h"
 
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -71,6 +73,41 @@
     }
 };
 
+// Keeps the requests to /slow until they are answered, and answers others at once.
+class slow_handler {
+public:
+    http_handler handler() {
+        return [this](const http_request& request, const http_responder& respond) {
+            const std::lock_guard lock{mutex_};
+            if (request.path == "/slow")
+                waiting_.push_back(respond);
+            else
+                respond({});
+        };
+    }
+
+    void wait_for(std::size_t count) {
+        while (true) {
+            const std::lock_guard lock{mutex_};
+            if (waiting_.size() >= count)
+                return;
+        }
+    }
+
+    void answer(std::size_t index, bool closes_connection = false) {
+        http_response response;
+        response.body = "slow " + std::to_string(index) + " end";
+        response.closes_connection = closes_connection;
+        waiting_[index](std::move(response));
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<http_responder> waiting_;
+};
+
+const std::string slow_request = "GET /slow HTTP/1.1\r\n\r\n";
+
 bool contains(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
 }
@@ -252,5 +289,113 @@
     EXPECT_TRUE(client.is_ended());
 }
 
+// Guards against unfinished requests behind one in handling that use up the memory.
+TEST_F(http_server_test, refuses_unfinished_requests_behind_those_in_handling_when_the_memory_is_used_up) {
+    http_limits few = limits();
+    few.max_body_bytes = 20'000;
+    few.max_held_bytes = 30'000;
+    // Beyond 4 requests in handling, the server does not parse the next one.
+    for (const std::size_t count : {1U, 4U}) {
+        slow_handler slow;
+        http_server server{"127.0.0.1:0", 1, few, slow.handler()};
+        raw_connection unfinished{server.address()};
+        for (std::size_t i = 0; i < count; ++i)
+            unfinished.send(slow_request);
+        slow.wait_for(count);
+        const std::string start =
+            "POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(19'999, 'a');
+        unfinished.send(start);
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        raw_connection client{server.address()};
+        client.send(start + 'a');
+        EXPECT_TRUE(contains(client.read_until("\r\n\r\n"), "200 OK")) << count;
+        for (std::size_t i = 0; i < count; ++i)
+            slow.answer(i);
+        const std::string answers = unfinished.read_to_end();
+        EXPECT_TRUE(contains(answers, "slow " + std::to_string(count - 1))) << answers;
+        EXPECT_TRUE(contains(answers, "HTTP/1.1 503")) << answers;
+    }
+}
+
+// Guards against an unfinished request that is kept as long as an earlier one is in handling.
+TEST_F(http_server_test, refuses_a_request_whose_bytes_stop_arriving_behind_one_in_handling) {
+    http_limits quick = limits();
+    quick.progress_timeout = std::chrono::milliseconds{100};
+    slow_handler slow;
+    http_server server{"127.0.0.1:0", 1, quick, slow.handler()};
+    raw_connection client{server.address()};
+    client.send(slow_request + "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    slow.wait_for(1);
+    slow.answer(0);
+    const std::string answers = client.read_to_end();
+    EXPECT_TRUE(contains(answers, "slow 0")) << answers;
+    EXPECT_TRUE(contains(answers, "HTTP/1.1 408")) << answers;
+}
+
+// Guards against pipelined requests in handling that are lost when an earlier response ends the connection.
+TEST_F(http_server_test, answers_the_requests_in_handling_before_it_closes_a_connection) {
+    slow_handler slow;
+    http_server server{"127.0.0.1:0", 1, limits(), slow.handler()};
+    raw_connection client{server.address()};
+    client.send(slow_request + slow_request + "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    slow.wait_for(2);
+    slow.answer(0, true);
+    const std::string first = client.read_until("slow 0 end");
+    EXPECT_TRUE(contains(first, "keep-alive")) << first;
+    client.send("defghij" + slow_request);
+    slow.answer(1);
+    const std::string last = client.read_to_end();
+    EXPECT_TRUE(contains(last, "Connection: close")) << last;
+    EXPECT_TRUE(contains(last, "slow 1 end")) << last;
+}
+
+// Guards against a pipelined request that is never asked to continue.
+TEST_F(http_server_test, asks_to_continue_after_the_response_to_the_request_before) {
+    http_limits quick = limits();
+    quick.progress_timeout = std::chrono::seconds{2};
+    http_server server{"127.0.0.1:0", 1, quick, echo};
+    raw_connection client{server.address()};
+    client.send("GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+    EXPECT_TRUE(contains(client.read_until(" end"), "200 OK"));
+    EXPECT_TRUE(contains(client.read_until("\r\n\r\n"), "100 Continue"));
+}
+
+// Guards against a blank line that counts as the begin of a request.
+TEST_F(http_server_test, keeps_a_connection_open_after_a_blank_line) {
+    http_limits quick = limits();
+    quick.progress_timeout = std::chrono::milliseconds{100};
+    http_server server{"127.0.0.1:0", 1, quick, echo};
+    raw_connection client{server.address()};
+    for (int i = 0; i < 2; ++i) {
+        client.send("GET / HTTP/1.1\r\n\r\n\r\n");
+        EXPECT_TRUE(contains(client.read_until(" end"), "200 OK")) << i;
+        std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    }
+}
+
+// Guards against an idle connection that is closed because a connection was accepted just before the end of
+// accepting.
+TEST_F(http_server_test, keeps_connections_open_when_it_stops_accepting) {
+    asio::io_context context{1};
+    http_server server{context, "127.0.0.1:0", limits(), echo};
+    raw_connection idle{server.address()};
+    std::vector<std::unique_ptr<raw_connection>> later;
+    context.run_for(std::chrono::milliseconds{50});
+    // The second of two waiting connections is accepted together with the first one, and its handler is
+    // called after that of the innermost post.
+    asio::post(context, [&] {
+        for (int i = 0; i < 2; ++i)
+            later.push_back(std::make_unique<raw_connection>(server.address()));
+        asio::post(context, [&] { asio::post(context, [&] { server.stop_accepting(); }); });
+    });
+    context.run_for(std::chrono::milliseconds{50});
+    for (raw_connection* client : {&idle, later[0].get(), later[1].get()}) {
+        client->send("GET / HTTP/1.1\r\n\r\n");
+        context.run_for(std::chrono::milliseconds{50});
+        EXPECT_TRUE(contains(client->read_until(" end"), "200 OK"));
+    }
+}
+
 } // namespace
 } // namespace persimmonstile
--- a/transport/http_server_connection.cpp
+++ b/transport/http_server_connection.cpp
@@ -23,7 +23,7 @@
 // Requests of one connection that may wait for their responses.
 constexpr std::size_t max_pipelined = 4;
 constexpr std::size_t min_body_capacity = 4096;
-// Read and dropped behind a refused request, besides one whole body: closing with unread bytes resets the
+// Read and dropped behind the last request, besides one whole body: closing with unread bytes resets the
 // connection, and the client would lose the response.
 constexpr std::size_t max_discarded = std::size_t{64} * 1024;
 // A buffer beyond this is not kept for the next response.
@@ -37,6 +37,8 @@
 
 std::string_view refusal_text(std::uint16_t status) {
     switch (status) {
+    case 408:
+        return "the request stopped arriving";
     case 413:
         return "the body is too large";
     case 414:
@@ -51,6 +53,8 @@
 }
 
 input_refusal reason_of(std::uint16_t status) {
+    if (status == 408)
+        return input_refusal::no_progress;
     if (status == 413)
         return input_refusal::body_too_large;
     return status == 503 ? input_refusal::memory : input_refusal::malformed;
@@ -146,8 +150,6 @@
         if (is_ending_) {
             discard(size);
         } else {
-            has_partial_request_ = true;
-            update_activity();
             consume({static_cast<const char*>(buffer.data()), size});
         }
     }
@@ -170,7 +172,6 @@
             keep_unparsed(data);
             return;
         }
-        has_partial_request_ = true;
         const std::size_t parsed =
             http_parser_execute(&parser_, &parser_settings(), data.data(), data.size());
         const http_errno error = HTTP_PARSER_ERRNO(&parser_);
@@ -184,8 +185,7 @@
             data = {};
         }
     }
-    if (!is_closed_ && !is_ending_ && expects_continue_ && has_partial_request_)
-        send_continue();
+    send_continue();
 }
 
 void http_server_connection::keep_unparsed(std::string_view data) {
@@ -246,7 +246,11 @@
     if (found == exchanges_.end())
         return;
     found->is_ready = true;
-    found->is_kept_alive = found->is_kept_alive && !response.closes_connection;
+    // Requests that have been passed to the handler are answered before the connection is closed.
+    if (response.closes_connection && !is_ending_) {
+        stop_receiving();
+        exchanges_.back().is_kept_alive = false;
+    }
     found->open = std::move(open);
     found->response = encode(response, *found);
     release(found->held_bytes);
@@ -282,27 +286,35 @@
 }
 
 void http_server_connection::send_continue() {
-    expects_continue_ = false;
-    if (is_writing_ || !exchanges_.empty())
+    if (!expects_continue_ || !has_partial_request_ || is_closed_ || is_ending_ || is_writing_ ||
+        !exchanges_.empty())
         return;
+    expects_continue_ = false;
     writing_ = continue_response;
     start_write();
 }
 
+// Drops the request that is being received.
+void http_server_connection::stop_receiving() {
+    is_ending_ = true;
+    release(std::exchange(request_held_, 0) + unparsed_.size());
+    request_ = {};
+    target_ = {};
+    value_ = {};
+    unparsed_ = {};
+    has_partial_request_ = false;
+}
+
 // The response is written after those to earlier requests. The connection is closed afterwards, because what
 // follows a request that was not read completely cannot be told apart.
 void http_server_connection::refuse(std::uint16_t status) {
     loop_->refused(reason_of(status));
-    is_ending_ = true;
-    release(std::exchange(request_held_, 0));
-    request_ = {};
-    has_partial_request_ = false;
+    stop_receiving();
     has_request_ended_ = true;
     exchange refusal;
     refusal.number = ++last_number_;
     refusal.is_kept_alive = false;
     refusal.is_ready = true;
-    refusal.is_refusal = true;
     http_response response;
     response.status = status;
     response.body = "{\"Error\":\"";
@@ -361,15 +373,11 @@
         writing_ = {};
     writing_.clear();
     const bool is_kept_alive = being_written_.empty() || being_written_.back().is_kept_alive;
-    const bool is_refusal = !being_written_.empty() && being_written_.back().is_refusal;
     for (const exchange& done : being_written_)
         release(done.held_bytes);
     being_written_.clear();
     if (!is_kept_alive) {
-        if (is_refusal)
-            linger();
-        else
-            close();
+        linger();
         return;
     }
     flush();
@@ -378,6 +386,7 @@
         release(data.size());
         consume(data);
     }
+    send_continue();
     update_activity();
     wait_readable();
 }
@@ -507,6 +516,11 @@
 const http_parser_settings& http_server_connection::parser_settings() {
     static const http_parser_settings settings = [] {
         http_parser_settings result{};
+        // Not called for blank lines between requests.
+        result.on_message_begin = [](http_parser* parser) {
+            of(parser).has_partial_request_ = true;
+            return 0;
+        };
         result.on_url = [](http_parser* parser, const char* data, std::size_t size) {
             return of(parser).target_part(data, size);
         };
--- a/transport/http_server_connection.h
+++ b/transport/http_server_connection.h
@@ -27,9 +27,9 @@
     using list = std::list<std::shared_ptr<http_server_connection>>;
 
     // What a connection is doing; the loop keeps one list for each.
-    //   receiving  its first request, or a later one of which bytes have arrived, or what follows a refusal
-    //   idle       nothing, after a request
-    //   busy       a request is being handled or a response is being written
+    //   receiving  its first request, or a later one of which bytes have arrived, or what follows the last
+    //   one idle       nothing, after a request busy       a request is being handled or a response is being
+    //   written
     enum class activity : std::uint8_t { receiving, idle, busy };
 
     http_server_connection(std::shared_ptr<http_server_loop> loop, tcp_socket socket, std::uint64_t id);
@@ -42,11 +42,16 @@
     // open is released when the response has been written.
     void respond(std::uint64_t number, const http_response& response, std::shared_ptr<void> open);
 
+    // Refuses the request that is being received. Earlier ones are answered, then the connection is closed.
+    void refuse(std::uint16_t status);
+
     std::uint64_t id() const { return id_; }
     executor get_executor() { return socket_.get_executor(); }
     activity current_activity() const;
     // Bytes of requests and responses that count against the loop's limit.
     std::size_t held_bytes() const { return held_bytes_; }
+    // Of them, bytes that have arrived and are not part of a request in handling.
+    std::size_t receiving_bytes() const { return request_held_ + unparsed_.size(); }
     bool is_lingering() const { return is_lingering_; }
     bool has_partial_request() const { return has_partial_request_; }
     clock::time_point last_progress() const { return last_progress_; }
@@ -55,7 +60,6 @@
     bool is_writing() const { return is_writing_; }
     clock::time_point write_started() const { return write_started_; }
 
-    // The position in the loop's lists.
     list::iterator position;
     activity listed_activity = activity::receiving;
 
@@ -66,7 +70,6 @@
         bool is_kept_alive = true;
         bool is_head = false;
         bool is_ready = false;
-        bool is_refusal = false;
         // Of the request, then of the response.
         std::size_t held_bytes = 0;
         std::string response;
@@ -80,7 +83,7 @@
     void keep_unparsed(std::string_view data);
     void handle_complete();
     void send_continue();
-    void refuse(std::uint16_t status);
+    void stop_receiving();
     void refuse_parse_error();
     void flush();
     void written(asio::error_code error);
--- a/transport/http_server_loop.cpp
+++ b/transport/http_server_loop.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds longest_tick{1000};
 constexpr std::chrono::milliseconds shortest_tick{20};
 
-// How long a refused client may take to read its response before its connection is closed.
+// How long a client may take to read the last response before its connection is closed.
 constexpr std::chrono::milliseconds linger_timeout{2000};
 
 } // namespace
@@ -96,10 +96,18 @@
             return connection.get() != &holder && connection->held_bytes() > 0;
         });
         if (next == receiving.end())
-            return false;
+            break;
         const auto connection = *next++;
         close_for(*connection, input_refusal::memory);
     }
+    for (const auto& connection : list_of(http_server_connection::activity::busy)) {
+        if (held_bytes_ + bytes <= limits_.max_held_bytes)
+            break;
+        if (connection.get() != &holder && connection->receiving_bytes() > 0)
+            connection->refuse(503);
+    }
+    if (held_bytes_ + bytes > limits_.max_held_bytes)
+        return false;
     held_bytes_ += bytes;
     return true;
 }
@@ -174,10 +182,13 @@
         }
     };
     using result = std::optional<input_refusal>;
+    const auto is_stalled = [&](const http_server_connection& open) {
+        return open.has_partial_request() && now - open.last_progress() > limits_.progress_timeout;
+    };
     close_if(http_server_connection::activity::receiving, [&](const http_server_connection& open) -> result {
         if (now - open.since() > (open.is_lingering() ? linger_timeout : limits_.read_timeout))
             return input_refusal::timed_out;
-        if (open.has_partial_request() && now - open.last_progress() > limits_.progress_timeout)
+        if (is_stalled(open))
             return input_refusal::no_progress;
         return std::nullopt;
     });
@@ -188,6 +199,10 @@
         const bool is_stuck = open.is_writing() && now - open.write_started() > limits_.write_timeout;
         return is_stuck ? result{input_refusal::timed_out} : std::nullopt;
     });
+    for (const auto& connection : list_of(http_server_connection::activity::busy)) {
+        if (is_stalled(*connection))
+            connection->refuse(408);
+    }
     for (std::size_t i = 0; i < input_refusal_count; ++i) {
         // An idle connection that is not used any more is no event.
         const auto reason = static_cast<input_refusal>(i);
