--- a/daemon/input_shares.h
+++ b/daemon/input_shares.h
@@ -8,7 +8,7 @@
 namespace persimmonstile {
 
 // The shares of the process's memory for requests and of its descriptors that its HTTP servers get. Fixed
-// shares keep a crowd at one socket from using up what another one needs.
+// shares prevent many clients of one socket from using up what another one needs.
 
 // For the socket that takes callers' requests or backend servers' reports.
 http_limits caller_limits(const daemon_settings& settings, std::size_t max_body_bytes);
