Limit the number of values in JSON from outside, and parse it in linear time

Cause: only the depth was limited, and [{},{},...] takes about 30 times its size in memory. Change: a first pass without values checks the depth and the number of values (100,000) and stops at the first one beyond a limit. Documents of operators and of the store have no limit on values, they grow with the deployment.

--- a/protocol/fleet_check.cpp
+++ b/protocol/fleet_check.cpp
@@ -330,8 +330,8 @@
 
 fleet_check_result check_fleet(std::string_view fleet, std::string_view exceptions,
                                const std::optional<wall_time>& now) {
-    const std::optional<json> fleet_json = parse_bounded_json(fleet);
-    const std::optional<json> exceptions_json = parse_bounded_json(exceptions);
+    const std::optional<json> fleet_json = parse_bounded_json(fleet, any_number_of_json_values);
+    const std::optional<json> exceptions_json = parse_bounded_json(exceptions, any_number_of_json_values);
     config_findings findings;
     if (!fleet_json)
         findings.push_back({finding_kind::invalid_json, std::string{fleet_file_name}, "", "a JSON document",
--- a/protocol/fleet_document.cpp
+++ b/protocol/fleet_document.cpp
@@ -265,7 +265,7 @@
     if (content.size() > max_content_bytes)
         return single(finding_kind::too_large, "", "at most " + std::to_string(max_content_bytes) + " bytes",
                       std::to_string(content.size()));
-    const std::optional<json> object = parse_bounded_json(content);
+    const std::optional<json> object = parse_bounded_json(content, any_number_of_json_values);
     if (!object || !object->is_object())
         return single(finding_kind::invalid_json, "", "a JSON object", "something else");
     try {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/registration_codec.h"
 #include "platform/store_codec.h"
 #include "protocol/base64.h"
+#include "protocol/bounded_json.h"
 #include "protocol/record_codec.h"
 
 #include <string>
@@ -606,6 +607,17 @@
     EXPECT_FALSE(decode_announcement("i-1", report));
 }
 
+// Guards against a report of many small values, which takes 30 times its size in memory.
+TEST(registration_codec, ignores_a_report_of_too_many_values) {
+    std::string values;
+    for (int i = 0; i < 100'000; ++i)
+        values += "{},";
+    std::string report = valid_report().dump();
+    report.replace(report.size() - 1, 1, ",\"x\":[" + values + "0]}");
+    EXPECT_FALSE(decode_announcement("i-1", report));
+    EXPECT_TRUE(parse_bounded_json(report, any_number_of_json_values));
+}
+
 // ---- Operators ----
 
 store_item text_item(const std::string& key, const std::string& text, std::uint64_t revision) {
