Free the buffers of HTTP connections after use

Cause: assigning an empty string keeps the buffer of the old one in libstdc++, so refused bodies and large responses kept their memory uncounted until the connection ended. Change: the buffers are moved out and destroyed. Result: http_server_test passes (15 tests); the memory was not measured.

--- a/transport/http_server_connection.cpp
+++ b/transport/http_server_connection.cpp
@@ -31,6 +31,12 @@
 
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// Assigning an empty value would keep the buffers of strings.
+template <typename T> void free_memory(T& value) {
+    const T freed = std::move(value);
+    value = T{};
+}
+
 bool equals(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
@@ -87,8 +93,8 @@
     loop_->release(std::exchange(held_bytes_, 0));
     exchanges_.clear();
     being_written_.clear();
-    request_ = {};
-    unparsed_ = {};
+    free_memory(request_);
+    free_memory(unparsed_);
     loop_->closed(*this);
 }
 
@@ -211,11 +217,11 @@
     next.held_bytes = std::exchange(request_held_, 0);
     exchanges_.push_back(std::move(next));
     http_request request = std::exchange(request_, {});
-    target_ = {};
+    free_memory(target_);
     // The parser makes no callback after the last trailer, which must not become a header of the next
     // request.
-    field_ = {};
-    value_ = {};
+    field_.clear();
+    free_memory(value_);
     value_bytes_ = 0;
     is_value_ = false;
     is_value_kept_ = false;
@@ -298,10 +304,10 @@
 void http_server_connection::stop_receiving() {
     is_ending_ = true;
     release(std::exchange(request_held_, 0) + unparsed_.size());
-    request_ = {};
-    target_ = {};
-    value_ = {};
-    unparsed_ = {};
+    free_memory(request_);
+    free_memory(target_);
+    free_memory(value_);
+    free_memory(unparsed_);
     has_partial_request_ = false;
 }
 
@@ -370,7 +376,7 @@
         return;
     }
     if (writing_.capacity() > max_kept_buffer)
-        writing_ = {};
+        free_memory(writing_);
     writing_.clear();
     const bool is_kept_alive = being_written_.empty() || being_written_.back().is_kept_alive;
     for (const exchange& done : being_written_)
@@ -463,7 +469,7 @@
         }
     }
     field_.clear();
-    value_ = {};
+    free_memory(value_);
     value_bytes_ = 0;
     is_value_kept_ = false;
 }
