Ask only entries that lend agents

An older entry does not know room_request and closes the link on which it receives one. peer_hello now says whether its sender lends agents, and only such entries are asked. Entries already asked are remembered by name, since a reconnected entry has a new link. A well-formed message with an unknown type is ignored instead of closing the link.

--- a/coordination/balance/agent_requester.cpp
+++ b/coordination/balance/agent_requester.cpp
@@ -9,7 +9,7 @@
 
 std::vector<std::pair<link_number, room_request>>
 agent_requester::take_requests(const std::vector<unmet_demand>& demands,
-                               const std::vector<link_number>& peers, time_point now) {
+                               const std::map<std::string, link_number>& peers, time_point now) {
     std::vector<std::pair<link_number, room_request>> requests;
     refill(now);
     for (const unmet_demand& demand : demands) {
@@ -57,22 +57,27 @@
     refilled_at_ = now;
 }
 
-std::vector<link_number>
-agent_requester::choose_peers(demand_state& state, const std::vector<link_number>& peers, std::size_t count) {
+std::vector<link_number> agent_requester::choose_peers(demand_state& state,
+                                                       const std::map<std::string, link_number>& peers,
+                                                       std::size_t count) {
     const auto not_asked = [&] {
-        std::vector<link_number> left;
+        std::vector<std::pair<std::string, link_number>> left;
         std::copy_if(peers.begin(), peers.end(), std::back_inserter(left),
-                     [&](link_number link) { return !state.asked.contains(link); });
+                     [&](const auto& peer) { return !state.asked.contains(peer.first); });
         return left;
     };
-    std::vector<link_number> candidates = not_asked();
+    std::vector<std::pair<std::string, link_number>> candidates = not_asked();
     if (candidates.empty()) {
         state.asked.clear();
         candidates = not_asked();
     }
+    std::vector<std::pair<std::string, link_number>> sample;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(sample), count, random_);
     std::vector<link_number> chosen;
-    std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen), count, random_);
-    state.asked.insert(chosen.begin(), chosen.end());
+    for (const auto& [name, link] : sample) {
+        state.asked.insert(name);
+        chosen.push_back(link);
+    }
     return chosen;
 }
 
--- a/coordination/balance/agent_requester.h
+++ b/coordination/balance/agent_requester.h
@@ -43,10 +43,11 @@
         : address_{std::move(address)}
         , random_{seed} {}
 
-    // Returns the requests to send now, by link. peers are the links to the connected entries.
-    std::vector<std::pair<link_number, room_request>> take_requests(const std::vector<unmet_demand>& demands,
-                                                                    const std::vector<link_number>& peers,
-                                                                    time_point now);
+    // Returns the requests to send now, by link. peers are the links to the
+    // connected entries that lend agents, by name.
+    std::vector<std::pair<link_number, room_request>>
+    take_requests(const std::vector<unmet_demand>& demands, const std::map<std::string, link_number>& peers,
+                  time_point now);
 
     // An agent of this service and these labels has connected, so requests for such agents yield something.
     void agent_connected(const std::string& service, const std::vector<std::string>& labels);
@@ -60,12 +61,13 @@
         std::size_t fan_out = entries_per_request;
         time_point next_request_at{};
         time_point last_needed_at{};
-        std::set<link_number> asked;
+        // Names, because an entry gets a new link when it connects again.
+        std::set<std::string> asked;
     };
 
     void refill(time_point now);
-    std::vector<link_number> choose_peers(demand_state& state, const std::vector<link_number>& peers,
-                                          std::size_t count);
+    std::vector<link_number> choose_peers(demand_state& state,
+                                          const std::map<std::string, link_number>& peers, std::size_t count);
 
     std::string address_;
     std::mt19937_64 random_;
--- a/coordination/entry_balance.cpp
+++ b/coordination/entry_balance.cpp
@@ -1,6 +1,8 @@
 #include "coordination/entry_core.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace persimmonstile {
@@ -50,11 +52,13 @@
         if (!has_capacity)
             demands.push_back(std::move(demand));
     }
-    std::vector<link_number> links;
-    for (const auto& [link, peer] : peers_)
-        links.push_back(link);
+    std::map<std::string, link_number> lenders;
+    for (const auto& [link, peer] : peers_) {
+        if (peer.lends_agents)
+            lenders[peer.name] = link;
+    }
     std::vector<std::pair<link_number, room_request>> requests =
-        agent_requester_.take_requests(demands, links, now);
+        agent_requester_.take_requests(demands, lenders, now);
     if (requests.empty())
         return;
     record_decision("asking other entries for agents", {},
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -62,7 +62,7 @@
 void entry_core::link_opened(link_number link, bool is_dialed, time_point) {
     is_session_update_needed_ = true;
     if (is_dialed)
-        output_.messages.emplace_back(link, peer_hello{name_, session()});
+        output_.messages.emplace_back(link, peer_hello{name_, session(), limits_.borrows_agents});
 }
 
 void entry_core::link_closed(link_number link) {
@@ -102,8 +102,9 @@
     peer_state& peer = peers_[link];
     peer.name = message.name;
     peer.session = message.session;
+    peer.lends_agents = message.lends_agents;
     if (is_new) {
-        output_.messages.emplace_back(link, peer_hello{name_, session()});
+        output_.messages.emplace_back(link, peer_hello{name_, session(), limits_.borrows_agents});
         output_.messages.emplace_back(link, make_counts_message());
     }
 }
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -97,6 +97,7 @@
     struct peer_state {
         std::string name;
         incarnation session;
+        bool lends_agents = false;
         std::map<std::string, std::uint64_t> counts;
     };
 
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -27,7 +27,7 @@
         if (!known_session_.name.empty())
             commits_.set_session(session(), session_manager_.entry_revision());
         for (const auto& [link, peer] : peers_)
-            output_.messages.emplace_back(link, peer_hello{name_, session()});
+            output_.messages.emplace_back(link, peer_hello{name_, session(), limits_.borrows_agents});
         send_welcome_to_all();
     }
     if (members().version() != sent_members_version_ &&
--- a/daemon/peer_links.cpp
+++ b/daemon/peer_links.cpp
@@ -65,6 +65,11 @@
                 on_event_.received(link, *message);
                 return;
             }
+            if (kind == frame_kind::work && is_work_message_of_later_version(payload)) {
+                log_event(log_level::debug, component, "ignoring a message of unknown type",
+                          {{"link", link}});
+                return;
+            }
             log_event(log_level::warn, component, "closing a connection that sent a malformed frame",
                       {{"link", link}});
             close(link, "malformed frame");
