Release stale reservations, and evaluate like tasks once in a planning pass

Reservations outlived their agent, the wait they were made for, and their task if its job had other waiting tasks. They are now released in begin_pass. The unreachable update in reservation_table::reserve is removed.

A trial placement by forecast did not use up capacity in the planning pass. It now does, and releases the reservation of the task.

An agent whose runs use exactly 7/8 of its capacity looked like an idle one on probation. agent_profile now has is_on_probation, which is tested instead; an agent of an older version gets no trial.

A task that found no capacity now spares the evaluation of tasks of the same step, and of tasks that need at least as much under the same constraints.

needs_per_run_ stays at 1 or more, and a wait that is not a number is rejected.

--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -393,6 +393,7 @@
     profile.backend = backend_;
     profile.accepts_runs = !refusal_reason();
     profile.is_suspect = backend_health_.is_avoided(now);
+    profile.is_on_probation = backend_health_.is_on_probation(now);
     profile.reported_capacity = free_capacity_for({}, now);
     if (const std::optional<milliseconds> left = time_until_departure(now))
         profile.leaves_in_ms = std::max<std::int64_t>(1, left->count());
@@ -401,8 +402,9 @@
 
 void agent_core::send_profile_if_changed(time_point now) {
     if (sent_profile_.accepts_runs == !refusal_reason() &&
-        sent_profile_.is_suspect == backend_health_.is_avoided(now) && sent_profile_.backend == backend_ &&
-        sent_departure_ == leaves_at_)
+        sent_profile_.is_suspect == backend_health_.is_avoided(now) &&
+        sent_profile_.is_on_probation == backend_health_.is_on_probation(now) &&
+        sent_profile_.backend == backend_ && sent_departure_ == leaves_at_)
         return;
     sent_profile_ = profile(now);
     sent_departure_ = leaves_at_;
--- a/coordination/agent_view.h
+++ b/coordination/agent_view.h
@@ -55,7 +55,7 @@
     // Free capacity in the past reports, kept if placement uses a forecast.
     capacity_history capacity;
     // Change of the free capacity since the previous report through runs of this entry, and the number of its
-    // runs that the agent has received since.
+    // runs that were sent to the agent since.
     resources own_change;
     std::uint64_t own_runs_since_report = 0;
     // Index of the agent in the current planning pass.
--- a/coordination/placement/placement_model.cpp
+++ b/coordination/placement/placement_model.cpp
@@ -1,5 +1,6 @@
 #include "coordination/placement/placement_model.h"
 
+#include "coordination/job_ledger.h"
 #include "coordination/placement/release_forecast.h"
 #include "coordination/placement/shortage_outlook.h"
 #include "coordination/placement/waiting_limit.h"
@@ -44,6 +45,13 @@
 // At most one agent in this many is reserved, so that reservations hold back a small part of the capacity.
 constexpr std::size_t agents_per_reservation = 30;
 
+bool is_waiting(ledger_job& job, const task_ref& task) {
+    bool result = false;
+    job_ledger::for_each_placeable_task(job, [&](const task_ref& waiting, const job_step&,
+                                                 const ledger_task&) { result = result || waiting == task; });
+    return result;
+}
+
 } // namespace
 
 void placement_model::record_report(agent_view& agent, time_point now) {
@@ -63,12 +71,19 @@
     agent.own_runs_since_report = 0;
 }
 
-void placement_model::begin_pass(const std::vector<ledger_job*>& waiting, time_point now) {
+void placement_model::begin_pass(const std::vector<ledger_job*>& waiting, const usable_check& is_usable,
+                                 time_point now) {
     now_ = now;
     slots_.clear();
     reservations_.retain([&](const capacity_reservation& reservation) {
-        return std::any_of(waiting.begin(), waiting.end(),
-                           [&](const ledger_job* job) { return job->id == reservation.task.job; });
+        const std::chrono::duration<double> overdue = now - reservation.start;
+        if (overdue.count() > max_wait_seconds)
+            return false;
+        const auto job = std::find_if(waiting.begin(), waiting.end(), [&](const ledger_job* waiting_job) {
+            return waiting_job->id == reservation.task.job;
+        });
+        return job != waiting.end() && is_waiting(**job, reservation.task) &&
+               is_usable(**job, reservation.agent);
     });
 }
 
@@ -99,7 +114,8 @@
     result.is_remote = !task.data_rack.empty() && task.data_rack != agent.profile.backend.rack;
     if (result.is_remote)
         result.cost.run *= remote_data_factor_;
-    if (result.cost.wait > max_wait_seconds)
+    // A wait that is not a number is rejected, too.
+    if (!(result.cost.wait <= max_wait_seconds))
         result.rejection = placement_rejection::no_capacity;
     else if (departs_before(agent, result.cost.wait + result.cost.run * (1 + departure_margin)))
         result.rejection = placement_rejection::departs;
@@ -179,12 +195,16 @@
     const auto wait =
         std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>{chosen.cost.wait});
     const capacity_reservation wanted{agent.number, task.ref, task.needs, now_ + wait};
-    if (!reservations_.reserve(wanted, std::max<std::size_t>(1, slots_.size() / agents_per_reservation)))
+    if (!reservations_.reserve(wanted, max_reservations()))
         return false;
     slots_[agent.placement_slot].reservation = wanted;
     return true;
 }
 
+std::size_t placement_model::max_reservations() const {
+    return std::max<std::size_t>(1, slots_.size() / agents_per_reservation);
+}
+
 double placement_model::perturbed_total(const placement_cost& cost) {
     std::uniform_real_distribution<double> jitter{0.0, cost_jitter};
     return cost.total() + cost.run * jitter(random_);
@@ -195,7 +215,8 @@
     slots_[agent.placement_slot].free -= task.needs;
     reservations_.release(task.ref);
     const auto needs = static_cast<double>(task.needs.cpu_millicores);
-    needs_per_run_ += needs_weight * (needs - needs_per_run_);
+    // Tasks may need no processor. The average is a divisor.
+    needs_per_run_ = std::max(1.0, needs_per_run_ + needs_weight * (needs - needs_per_run_));
     returns_.record_start(chosen.shortage_probability);
 }
 
--- a/coordination/placement/placement_model.h
+++ b/coordination/placement/placement_model.h
@@ -11,7 +11,9 @@
 #include "coordination/placement/shortage_table.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 #include <vector>
@@ -32,9 +34,11 @@
     void record_report(agent_view& agent, time_point now);
     void record_return(std::chrono::nanoseconds since_sent) { returns_.record_return(since_sent); }
 
-    // A planning pass: first all usable agents are added, each of which keeps its slot number. Reservations
-    // for tasks of jobs that do not wait any more are released.
-    void begin_pass(const std::vector<ledger_job*>& waiting, time_point now);
+    using usable_check = std::function<bool(const ledger_job& job, agent_number agent)>;
+    // A planning pass: all usable agents are added before tasks are evaluated there. Reservations are
+    // released if their task does not wait any more, their agent is not usable for it, or they are out of
+    // date.
+    void begin_pass(const std::vector<ledger_job*>& waiting, const usable_check& is_usable, time_point now);
     void add(agent_view& agent);
 
     // The cost of the task at an agent of this pass, or why it cannot run there.
@@ -52,12 +56,15 @@
     // Reserves the agent for a task that fits nowhere, if it has little time left. Returns whether the
     // reservation is new.
     bool reserve(const agent_view& agent, const placement_task& task, const placement_candidate& chosen);
+    bool has_reservation(const task_ref& task) const { return reservations_.find_by_task(task) != nullptr; }
+    bool may_reserve_more() const { return reservations_.size() < max_reservations(); }
     // Whether the task has just begun to wait.
     bool is_first_look(const placement_task& task) const { return now_ <= task.waiting_since; }
 
 private:
     // Number of runs of typical size that fit in `free`.
     double slots_in(double free) const { return free / needs_per_run_; }
+    std::size_t max_reservations() const;
     bool departs_before(const agent_view& agent, double seconds) const;
     bool is_reserved(const placement_slot& slot, const placement_task& task, double seconds) const;
     const placement_slot& slot_of(const agent_view& agent) const { return slots_[agent.placement_slot]; }
--- a/coordination/placement/probation_trial.cpp
+++ b/coordination/placement/probation_trial.cpp
@@ -6,23 +6,15 @@
 
 namespace persimmonstile {
 
-namespace {
-
-bool offers_at_most_probation_capacity(const agent_view& agent) {
-    return agent.reported_capacity.free.fits_in(
-        agent_limits::probation_capacity(agent.profile.backend.capacity));
-}
-
-} // namespace
-
 bool probation_trial::is_idle_on_probation(const agent_view& agent, const resources& free) {
-    return agent.runs.empty() && agent.reported_capacity.queued == resources{} &&
+    return agent.profile.is_on_probation && agent.runs.empty() &&
+           agent.reported_capacity.queued == resources{} &&
            free == agent_limits::probation_capacity(agent.profile.backend.capacity);
 }
 
 bool probation_trial::is_needed(const resources& needs, const std::vector<agent_view*>& usable) {
     return std::all_of(usable.begin(), usable.end(), [&](const agent_view* agent) {
-        return offers_at_most_probation_capacity(*agent) || !needs.fits_in(agent->profile.backend.capacity);
+        return agent->profile.is_on_probation || !needs.fits_in(agent->profile.backend.capacity);
     });
 }
 
--- a/coordination/placement/probation_trial.h
+++ b/coordination/placement/probation_trial.h
@@ -11,8 +11,8 @@
 // servers that are large enough for a task are on probation, the task would never be placed.
 class probation_trial {
 public:
-    // Whether the agent offers just the capacity of an idle backend server on probation, less nothing that
-    // this entry has sent or planned. `free` is what is left of its capacity in this planning pass.
+    // Whether the agent is on probation, has no runs of any entry, and has got none in this pass. `free` is
+    // what is left of its capacity in this planning pass.
     static bool is_idle_on_probation(const agent_view& agent, const resources& free);
 
     // Whether a task with these needs may be tried at an agent that is_idle_on_probation: no agent of
--- a/coordination/placement/release_forecast.cpp
+++ b/coordination/placement/release_forecast.cpp
@@ -6,14 +6,6 @@
 
 namespace persimmonstile {
 
-namespace {
-
-// A wait that is derived from the rate of starts counts this many times, because other entries wait for the
-// same capacity.
-constexpr double contention = 1;
-
-} // namespace
-
 release_forecast release_forecast::of(const agent_view& agent, const resources& free, const resources& needs,
                                       double needs_per_run, time_point now) {
     constexpr double never = std::numeric_limits<double>::infinity();
@@ -30,7 +22,7 @@
     // Only the release of processors can be derived from the rate.
     if (shortage <= 0 || released_per_second <= 0)
         return {never, false};
-    return {contention * shortage / released_per_second, false};
+    return {shortage / released_per_second, false};
 }
 
 } // namespace persimmonstile
--- a/coordination/placement/reservation_table.cpp
+++ b/coordination/placement/reservation_table.cpp
@@ -5,14 +5,8 @@
 namespace persimmonstile {
 
 bool reservation_table::reserve(const capacity_reservation& wanted, std::size_t max_reservations) {
-    for (capacity_reservation& known : reservations_) {
-        if (known.task == wanted.task) {
-            if (known.agent == wanted.agent)
-                known.start = wanted.start;
-            return known.agent == wanted.agent;
-        }
-    }
-    if (reservations_.size() >= max_reservations || find_by_agent(wanted.agent) != nullptr)
+    if (reservations_.size() >= max_reservations || find_by_agent(wanted.agent) != nullptr ||
+        find_by_task(wanted.task) != nullptr)
         return false;
     reservations_.push_back(wanted);
     return true;
--- a/coordination/placement/reservation_table.h
+++ b/coordination/placement/reservation_table.h
@@ -12,9 +12,8 @@
 // back capacity that smaller tasks could use.
 class reservation_table {
 public:
-    // Keeps capacity of the agent for the task, or updates the start time. Does nothing if the agent is
-    // reserved for another task, or if there are as many reservations as allowed. Returns whether the task
-    // has a reservation there.
+    // Keeps capacity of the agent for the task. Does nothing and returns false if the agent or the task has a
+    // reservation, or if there are as many reservations as allowed.
     bool reserve(const capacity_reservation& wanted, std::size_t max_reservations);
     void release(const task_ref& task);
     // Releases the reservations for which is_valid returns false.
--- a/coordination/run_planner.cpp
+++ b/coordination/run_planner.cpp
@@ -82,8 +82,15 @@
 
     run_plan result;
     free_capacity_.clear();
+    unplaced_.clear();
     if (placement_)
-        placement_->begin_pass(waiting, now);
+        placement_->begin_pass(
+            waiting,
+            [&](const ledger_job& job, agent_number number) {
+                const agent_view* agent = agents.find_by_number(number);
+                return agent != nullptr && is_usable(*agent, job.record->service, config, now);
+            },
+            now);
     std::map<std::string, std::vector<agent_view*>> usable;
     std::map<std::string, late_jobs> late;
     for (const waiting_job& next : order) {
@@ -215,7 +222,8 @@
                                           const std::vector<planned_run>& planned) {
     const resources& needs = job.step(task.step).task_needs;
     const auto may_try = [&](const agent_view* agent) {
-        return probation_trial::is_idle_on_probation(*agent, free_capacity_.at(agent->number)) &&
+        return agent->profile.is_on_probation &&
+               probation_trial::is_idle_on_probation(*agent, free_capacity_.at(agent->number)) &&
                needs.fits_in(agent->profile.backend.capacity) &&
                constraint_rejection(*agent, job, task, planned) == placement_rejection::none;
     };
@@ -226,6 +234,36 @@
     return *found;
 }
 
+agent_view* run_planner::try_by_forecast(const ledger_job& job, const placement_task& request,
+                                         const std::vector<agent_view*>& usable,
+                                         const std::vector<planned_run>& planned) {
+    agent_view* agent = choose_for_trial(job, request.ref, usable, planned);
+    if (agent != nullptr)
+        placement_->take(*agent, request, {});
+    return agent;
+}
+
+// A task with a reservation finds capacity that others do not.
+bool run_planner::is_known_unplaceable(const ledger_job& job, const placement_task& request,
+                                       const std::vector<agent_view*>& usable) const {
+    if (placement_->has_reservation(request.ref))
+        return false;
+    const job_step& step = job.step(request.ref.step);
+    return std::any_of(unplaced_.begin(), unplaced_.end(), [&](const unplaced_task& known) {
+        if (known.usable != &usable || !known.needs.fits_in(request.needs) || request.seconds < known.seconds)
+            return false;
+        if (is_same_step(known.task, request.ref))
+            return true;
+        const bool is_as_constrained = !known.is_spread && (job.is_durable() || !known.is_durable) &&
+                                       (known.label.empty() || known.label == step.required_label) &&
+                                       known.rack == step.data_rack;
+        const bool may_reserve =
+            known.may_wait && placement_->may_reserve_more() &&
+            (request.due < known.due || known.needs != request.needs || known.seconds != request.seconds);
+        return is_as_constrained && !may_reserve;
+    });
+}
+
 // Returns the agent where the task is expected to end first, or null if there is none.
 agent_view* run_planner::choose_by_forecast(const ledger_job& job, const task_ref& task,
                                             const ledger_task& state, double seconds,
@@ -244,6 +282,9 @@
         placement_candidate candidate;
         double cost = 0;
     };
+    if (is_known_unplaceable(job, request, usable))
+        return try_by_forecast(job, request, usable, planned);
+    const bool had_reservation = placement_->has_reservation(task);
     option now;
     option later;
     for (agent_view* agent : usable) {
@@ -259,17 +300,23 @@
     const placement_choice choice =
         placement_->choose(request, now.agent != nullptr ? &now.candidate : nullptr,
                            later.agent != nullptr ? &later.candidate : nullptr);
-    if (choice == placement_choice::none)
-        return choose_for_trial(job, task, usable, planned);
+    bool is_reserved = had_reservation;
+    if (choice == placement_choice::wait && now.agent == nullptr &&
+        placement_->reserve(*later.agent, request, later.candidate)) {
+        is_reserved = true;
+        notes_.push_back({"reserved capacity for a task that fits nowhere", job.id, later.agent->number,
+                          std::chrono::duration_cast<milliseconds>(
+                              std::chrono::duration<double>{later.candidate.cost.wait})});
+    }
+    if (now.agent == nullptr) {
+        if (!is_reserved)
+            unplaced_.push_back({&usable, task, step.task_needs, seconds, step.required_label, step.data_rack,
+                                 job.is_durable(), step.max_per_backend > 0, due_, later.agent != nullptr});
+        return try_by_forecast(job, request, usable, planned);
+    }
     if (choice == placement_choice::wait) {
         const auto wait = std::chrono::duration_cast<milliseconds>(
             std::chrono::duration<double>{later.candidate.cost.wait});
-        if (now.agent == nullptr) {
-            if (placement_->reserve(*later.agent, request, later.candidate))
-                notes_.push_back(
-                    {"reserved capacity for a task that fits nowhere", job.id, later.agent->number, wait});
-            return choose_for_trial(job, task, usable, planned);
-        }
         if (placement_->is_first_look(request))
             notes_.push_back(
                 {"task waits for capacity on the rack of its data", job.id, later.agent->number, wait});
--- a/coordination/run_planner.h
+++ b/coordination/run_planner.h
@@ -67,7 +67,6 @@
             placement_->record_return(since_sent);
     }
 
-
     // Orders the jobs by priority and slack from now on. Their refusal is left to the caller.
     void use_waiting_order() { waiting_order_.emplace(); }
     // Factor by which the run time of a task of the step grows because its data is on another rack; 1 if
@@ -118,6 +117,30 @@
                                    double seconds, const std::vector<agent_view*>& usable,
                                    const std::vector<planned_run>& planned);
 
+    // Places the task for which no other agent was found at an agent on probation, if that is needed.
+    agent_view* try_by_forecast(const ledger_job& job, const placement_task& request,
+                                const std::vector<agent_view*>& usable,
+                                const std::vector<planned_run>& planned);
+
+    // A task that found no capacity in this planning pass. Other tasks find none either if they need as much
+    // and are as constrained, because capacity only decreases during a pass.
+    struct unplaced_task {
+        const std::vector<agent_view*>* usable = nullptr;
+        // Only its job, occurrence and step are compared.
+        task_ref task;
+        resources needs;
+        double seconds = 0;
+        std::string label;
+        std::string rack;
+        bool is_durable = false;
+        bool is_spread = false;
+        time_point due{};
+        // An agent is expected to have capacity soon, so a more urgent task might reserve it.
+        bool may_wait = false;
+    };
+    bool is_known_unplaceable(const ledger_job& job, const placement_task& request,
+                              const std::vector<agent_view*>& usable) const;
+
     double utilization(const agent_view& agent) const;
 
     std::string zone_;
@@ -131,6 +154,7 @@
     std::optional<placement_model> placement_;
     // Time by which the job that is being placed should end, and the notes of the planning pass.
     time_point due_{};
+    std::vector<unplaced_task> unplaced_;
     // Empty while admission is not forecast.
     std::optional<waiting_order> waiting_order_;
     std::vector<placement_note> notes_;
--- a/state/agent_profile.h
+++ b/state/agent_profile.h
@@ -28,11 +28,15 @@
     bool is_suspect = false;
     // Minimum time until the draining backend server leaves, in milliseconds; 0 if it is not known to leave.
     std::int64_t leaves_in_ms = 0;
+    // The backend server was avoided and offers a part of its capacity until a run succeeds. Agents of older
+    // versions do not set it.
+    bool is_on_probation = false;
 
     static constexpr auto members() {
         return std::make_tuple(&agent_profile::agent, &agent_profile::zone, &agent_profile::accepts_runs,
                                &agent_profile::backend, &agent_profile::reported_capacity,
-                               &agent_profile::is_suspect, &agent_profile::leaves_in_ms);
+                               &agent_profile::is_suspect, &agent_profile::leaves_in_ms,
+                               &agent_profile::is_on_probation);
     }
 };
 
--- a/tests/placement_forecast_test.cpp
+++ b/tests/placement_forecast_test.cpp
@@ -170,6 +170,20 @@
     EXPECT_EQ((run_planner{"zone", 3.0, 1, true}.distance_factor(step, agent)), 1.0);
 }
 
+ledger_job& add_job(job_ledger& ledger, const job_id& id, std::uint32_t tasks, std::int64_t millicores) {
+    auto record = std::make_shared<open_job>();
+    record->queue = "queue";
+    record->service = "service";
+    record->plan.is_durable = false;
+    job_step step;
+    step.task_count = tasks;
+    step.task_needs = {millicores, 1000, 0};
+    record->plan.steps.push_back(step);
+    ledger_job& job = ledger.add(id, record, {}, 0, time_point{100s});
+    job.phase = job_phase::open;
+    return job;
+}
+
 // Holds one agent that has no free capacity, and one that has.
 class placement_model_test : public testing::Test {
 protected:
@@ -179,7 +193,9 @@
     agent_view empty_ = agent(2, "far", 32000);
     const std::string near_ = "near";
     const std::vector<agent_number> none_;
+    job_ledger ledger_;
     ledger_job job_;
+    bool is_full_usable_ = true;
 
     static agent_view agent(agent_number number, const std::string& rack, std::int64_t free) {
         agent_view result;
@@ -194,12 +210,17 @@
     void begin_pass() {
         model_.record_report(full_, now_);
         model_.record_report(empty_, now_);
-        job_.id = "job";
-        model_.begin_pass({&job_}, now_);
+        job_ = add_job(ledger_, "job", 1, 30000);
+        begin_pass_with({&job_});
         model_.add(full_);
         model_.add(empty_);
     }
 
+    void begin_pass_with(const std::vector<ledger_job*>& waiting) {
+        model_.begin_pass(
+            waiting, [this](const ledger_job&, agent_number) { return is_full_usable_; }, now_);
+    }
+
     const task_ref task_ref_{"job", 0, 0, 0};
     const task_ref other_ref_{"other", 0, 0, 0};
     placement_task task(const task_ref& ref, std::int64_t millicores, double seconds) const {
@@ -235,7 +256,8 @@
 }
 
 // Guards against small tasks that take the capacity for which a large one waits, against small tasks that are
-// kept from capacity which is free until then, and against a reservation that outlives its task.
+// kept from capacity which is free until then, and against a reservation that outlives its task, its agent or
+// its expected start.
 TEST_F(placement_model_test, lets_only_short_tasks_use_reserved_capacity) {
     full_.reported_capacity.free = {8000, 1000, 0};
     full_.reported_capacity.releases = {{100, {24000, 0, 0}}};
@@ -249,22 +271,34 @@
     // It leaves enough beside the large task.
     EXPECT_EQ(model_.evaluate(full_, task(other_ref_, 2000, 0.300)).rejection, placement_rejection::none);
     EXPECT_EQ(model_.evaluate(full_, large).rejection, placement_rejection::none);
-    model_.begin_pass({}, now_);
-    model_.add(full_);
-    EXPECT_EQ(model_.evaluate(full_, task(other_ref_, 4000, 0.300)).rejection, placement_rejection::none);
+    begin_pass_with({&job_});
+    EXPECT_TRUE(model_.has_reservation(task_ref_));
+    const auto is_kept_after = [&](const auto& change) {
+        model_.add(full_);
+        EXPECT_TRUE(model_.has_reservation(task_ref_) || model_.reserve(full_, large, later));
+        change();
+        begin_pass_with({&job_});
+        return model_.has_reservation(task_ref_);
+    };
+    EXPECT_FALSE(is_kept_after([&] { is_full_usable_ = false; }));
+    is_full_usable_ = true;
+    EXPECT_FALSE(is_kept_after([&] { now_ += 1200ms; }));
+    EXPECT_FALSE(is_kept_after([&] { job_.occurrences.at(0).steps[0][0].phase = task_phase::running; }));
 }
 
 // Guards against a large task that is never placed because all backend servers are on probation.
 TEST(probation_trial, is_for_tasks_that_only_agents_on_probation_could_hold) {
     agent_view probation;
     probation.profile.backend.capacity = {32000, 8000, 0};
+    probation.profile.is_on_probation = true;
     probation.reported_capacity.free = {4000, 1000, 0};
     agent_view healthy = probation;
-    healthy.reported_capacity.free = {5000, 1000, 0};
+    // Other entries use the rest of it.
+    healthy.profile.is_on_probation = false;
     EXPECT_TRUE(probation_trial::is_idle_on_probation(probation, {4000, 1000, 0}));
     // A task has been planned for it.
     EXPECT_FALSE(probation_trial::is_idle_on_probation(probation, {-4000, 0, 0}));
-    EXPECT_FALSE(probation_trial::is_idle_on_probation(healthy, {5000, 1000, 0}));
+    EXPECT_FALSE(probation_trial::is_idle_on_probation(healthy, {4000, 1000, 0}));
     const resources large{8000, 1000, 0};
     EXPECT_TRUE(probation_trial::is_needed(large, {&probation}));
     // The task can wait for a healthy one.
@@ -273,8 +307,8 @@
     EXPECT_FALSE(probation_trial::is_idle_on_probation(probation, {4000, 1000, 0}));
 }
 
-// Guards against the same in the planner, with either placement, and against more than one such task at a
-// time.
+// Guards against the same in the planner, with either placement, against more than one such task at a time,
+// and against other tasks that are placed in the capacity of the trial.
 TEST(probation_trial, lets_one_large_task_start) {
     for (const bool forecasts : {false, true}) {
         run_planner planner{"zone", 1.5, 1, forecasts};
@@ -284,23 +318,27 @@
         agent.is_introduced = true;
         agent.profile.accepts_runs = true;
         agent.profile.backend.service = "service";
+        agent.profile.is_on_probation = true;
         agent.profile.backend.capacity = {32000, 8000, 0};
         agent.reported_capacity.free = {4000, 1000, 0};
         planner.record_report(agent, time_point{100s});
-        auto record = std::make_shared<open_job>();
-        record->queue = "queue";
-        record->service = "service";
-        record->plan.is_durable = false;
-        job_step step;
-        step.task_count = 2;
-        step.task_needs = {8000, 1000, 0};
-        record->plan.steps.push_back(step);
         job_ledger ledger;
-        ledger_job& job = ledger.add("job", record, {}, 0, time_point{100s});
-        job.phase = job_phase::open;
+        ledger_job& large = add_job(ledger, "a", 2, 8000);
+        ledger_job& small = add_job(ledger, "b", 1, 2000);
         const run_plan plan =
-            planner.plan({&job}, agents, run_time_model{}, deployment_config{}, time_point{100s});
+            planner.plan({&large, &small}, agents, run_time_model{}, deployment_config{}, time_point{100s});
         EXPECT_EQ(plan.runs.size(), 1U) << forecasts;
+        // Without the large job, the small one starts.
+        EXPECT_EQ(planner.plan({&small}, agents, run_time_model{}, deployment_config{}, time_point{100s})
+                      .runs.size(),
+                  1U);
+        // A task that finds no capacity keeps larger ones from being evaluated, but not smaller ones.
+        agent.profile.is_on_probation = false;
+        ledger_job& larger = add_job(ledger, "aa", 1, 9000);
+        const run_plan mixed = planner.plan({&large, &larger, &small}, agents, run_time_model{},
+                                            deployment_config{}, time_point{100s});
+        ASSERT_EQ(mixed.runs.size(), 1U);
+        EXPECT_EQ(mixed.runs[0].task.job, "b");
     }
 }
 
