Separate late from unknown urgency, and forget absent agents

start_within_ms was 0 for both an unknown and a past latest start, so runs of unknown urgency were started last. It is now -1 if the time is over; unknown urgency counts as the rest of the queue timeout. An older entry sends 0 for a late run, which then ranks as unknown.

Views of disconnected agents were kept for ever, and planning visits all of them. They are erased once no run of this entry can be left there.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -315,7 +315,7 @@
     std::uint64_t zones_version_ = 0;
     time_point last_orphan_offer_{};
     agent_profile sent_profile_;
-    // The departure that sent_profile_ tells.
+    // leaves_at_ when sent_profile_ was sent.
     std::optional<time_point> sent_departure_;
 };
 
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -204,6 +204,8 @@
         record.priority = start.priority;
         if (start.start_within_ms > 0)
             record.latest_start = now + start.start_within();
+        else if (start.start_within_ms == 0)
+            record.latest_start = now + limits_.queue_timeout;
         record.accepted = now;
         ++accepted_runs_;
         typical_needs_.add(record.needs);
--- a/coordination/balance/extra_entries.h
+++ b/coordination/balance/extra_entries.h
@@ -21,12 +21,11 @@
     // An entry has adopted jobs and requests a connection. Returns whether it was not served before.
     bool add_for_adoption(const std::string& address, time_point now);
     // An entry requests a connection for its waiting tasks. Returns whether it was added. Entries that are
-    // already served are not renewed, so that others get their turn at an agent that many entries need.
+    // already served are not renewed, so that an agent that many entries need serves each of them for a time.
     bool add_for_capacity(const std::string& address, time_point now);
     // Returns whether an entry was removed.
     bool remove_expired(time_point now);
 
-    // Adds the addresses to the set.
     template <typename Set> void insert_into(Set& addresses) const {
         for (const auto* requests : {&for_adoption_, &for_capacity_}) {
             for (const auto& [address, until] : *requests)
--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -509,4 +509,20 @@
     }
 }
 
+// Forgets disconnected agents that have no run of this entry any more, since planning visits all known ones.
+void entry_core::forget_absent_agents(time_point now) {
+    const milliseconds absence =
+        std::max<milliseconds>(durable_owner_absence, caller_contact_lease(limits_.caller_resend_delay)) +
+        limits_.run_lease_bound();
+    std::vector<agent_number> absent;
+    for (const auto& [number, agent] : agents_.all()) {
+        if (agent.link == 0 && agent.runs.empty() && agent.runs_at_former_backend.empty() &&
+            agent.missing_runs.empty() && now >= agent.former_leases_expire_at &&
+            now > agent.last_reading_at + absence)
+            absent.push_back(number);
+    }
+    for (const agent_number number : absent)
+        agents_.forget(number);
+}
+
 } // namespace persimmonstile
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -253,6 +253,7 @@
     wall_ = wall;
     is_session_update_needed_ = true;
     expire_unreachable_runs(now);
+    forget_absent_agents(now);
     write_progress(now);
     begin_due_occurrences(now);
     drop_expired_jobs(now);
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -88,6 +88,8 @@
     const incarnation& session() const { return session_manager_.session(); }
     const member_directory& members() const { return session_manager_.members(); }
     std::size_t connected_agents() const;
+    // Including agents that have disconnected and may still have runs of this entry.
+    std::size_t known_agents() const { return agents_.all().size(); }
     std::size_t open_jobs() const { return ledger_.jobs().size(); }
     // Links to the connected entries, by name.
     std::map<std::string, link_number> peers() const;
@@ -140,6 +142,7 @@
     void process_finished_task(ledger_job& job, const task_ref& task, time_point now);
     void end_former_runs(agent_view& agent, time_point now);
     void expire_unreachable_runs(time_point now);
+    void forget_absent_agents(time_point now);
     std::vector<run_ref> missing_runs(const agent_view& agent, const run_inventory& message);
     void conclude_lost_runs(agent_view& agent, const std::vector<run_ref>& missing, time_point now);
     void mark_run_lost(agent_view& agent, const run_ref& run, time_point now);
--- a/coordination/entry_jobs.cpp
+++ b/coordination/entry_jobs.cpp
@@ -270,8 +270,8 @@
     record_decision("placed tasks", job.id, std::move(inputs));
 }
 
-// Logs, at most once in each interval, how much capacity is free while tasks wait. Much free capacity tells
-// that the waiting tasks are too large for the gaps, or need other backend servers.
+// Logs, at most once in each interval, how much capacity is free while tasks wait. If much is free, the
+// waiting tasks are too large for the gaps, or need other backend servers.
 void entry_core::record_waiting(const std::vector<ledger_job*>& waiting, time_point now) {
     if (now < waiting_logged_at_ + limits_.waiting_log_interval)
         return;
@@ -305,7 +305,7 @@
     const time_point latest_start = run_time_model_.target_of(job, queue).in_time - expected;
     start.priority = queue->priority;
     start.start_within_ms =
-        std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(latest_start - now).count());
+        latest_start > now ? std::chrono::ceil<milliseconds>(latest_start - now).count() : -1;
 }
 
 void entry_core::send_starts(const std::vector<planned_run>& plan, time_point now) {
--- a/coordination/placement/placement_model.h
+++ b/coordination/placement/placement_model.h
@@ -30,7 +30,7 @@
         , remote_data_factor_{remote_data_factor}
         , random_{seed} {}
 
-    // What the agents report and do. The report must already be in agent.reported_capacity.
+    // The report must already be in agent.reported_capacity.
     void record_report(agent_view& agent, time_point now);
     void record_return(std::chrono::nanoseconds since_sent) { returns_.record_return(since_sent); }
 
--- a/coordination/placement/return_statistics.cpp
+++ b/coordination/placement/return_statistics.cpp
@@ -13,7 +13,7 @@
 constexpr double prior_shortages = 4;
 constexpr double prior_returns = 2;
 
-// Bounds of returns per predicted shortage. They limit the effect of a few unlucky runs.
+// Bounds of returns per predicted shortage. They limit the ratio while few runs were observed.
 constexpr double min_ratio = 0.1;
 constexpr double max_ratio = 4;
 
--- a/coordination/run_queue/active_run.h
+++ b/coordination/run_queue/active_run.h
@@ -12,7 +12,6 @@
     resources needs;
     // Expected run time; 0 if unknown.
     milliseconds expected{0};
-    // Time since the start.
     milliseconds elapsed{0};
     // Latest progress, and the time from the start until it was observed. 0 if none was observed, or if the
     // start time is not known.
--- a/coordination/run_queue/early_report.h
+++ b/coordination/run_queue/early_report.h
@@ -24,7 +24,8 @@
     std::optional<time_point> due(bool has_room, milliseconds regular_interval) const;
 
 private:
-    std::optional<bool> told_room_;
+    // Whether the latest report contained free capacity.
+    std::optional<bool> sent_room_;
     time_point sent_at_{};
     std::optional<time_point> last_early_;
 };
--- a/coordination/run_queue/waiting_run.h
+++ b/coordination/run_queue/waiting_run.h
@@ -19,9 +19,10 @@
     // Expected run time; 0 if unknown.
     milliseconds expected{0};
     std::uint32_t priority = 0;
-    // Time left until the run must start so that its job ends in time. Not set if it is unknown or over.
+    // Time left until the run must start so that its job ends in time. If that is unknown, the rest of the
+    // queue timeout. Not set if it was over when the run arrived.
     std::optional<milliseconds> start_within;
-    // Time in the queue.
+    // Since the agent accepted the run.
     milliseconds waited{0};
 };
 
--- a/coordination/run_record.h
+++ b/coordination/run_record.h
@@ -48,7 +48,8 @@
     milliseconds expected{0};
     // Priority of the job's queue; 0 is the highest.
     std::uint32_t priority = 0;
-    // Latest start with which the job can end in time. Not set if it is unknown or was over on arrival.
+    // Latest start with which the job can end in time, or the end of the queue timeout if that is unknown.
+    // Not set if it was over on arrival.
     std::optional<time_point> latest_start;
     time_point ended{};
     std::uint64_t end_number = 0;
--- a/state/run_spec.h
+++ b/state/run_spec.h
@@ -24,7 +24,7 @@
     // Priority of the job's queue; 0 is the highest.
     std::uint32_t priority = 0;
     // Time from the sending of the message within which the run must start so that its job can end in time,
-    // in milliseconds; 0 if it is unknown or over.
+    // in milliseconds; 0 if it is unknown, -1 if it is over. Entries of older versions send 0 if it is over.
     std::int64_t start_within_ms = 0;
 
     std::chrono::milliseconds expected() const { return std::chrono::milliseconds{expected_ms}; }
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1362,6 +1362,25 @@
     EXPECT_EQ(std::get<start_order>(start->action).run, run_of(3));
 }
 
+// Guards against treating a run of unknown urgency like one whose job will be late.
+TEST_F(run_queue_agent_test, starts_a_run_of_unknown_urgency_before_a_late_one) {
+    fill(milliseconds{20});
+    send_start(3, milliseconds{60}, milliseconds{-1});
+    advance_with_contact(milliseconds{1});
+    send_start(4, milliseconds{60});
+    auto hold = take_order<hold_order>();
+    for (int i = 0; i < 20 && !hold; ++i) {
+        advance_with_contact(milliseconds{1});
+        hold = take_order<hold_order>();
+    }
+    ASSERT_TRUE(hold);
+    answer(*hold, backend_verdict::accepted, {{run_of(1), {}, 50}, {run_of(2), {}, 50}},
+           {{1, run_of(0), run_state::done, {}}});
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_EQ(std::get<start_order>(start->action).run, run_of(4));
+}
+
 // Guards against a prediction while the agent does not know what its backend server runs.
 TEST_F(run_queue_agent_test, keeps_the_queue_timeout_while_runs_are_unclaimed) {
     advance_with_contact(milliseconds{200});
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -636,7 +636,8 @@
 }
 
 // Guards against starting a task again while its run at an unreachable agent may continue: the entry must
-// wait until the lease of that run has expired.
+// wait until the lease of that run has expired. Guards also against views of lost agents that are never
+// erased.
 TEST_F(entry_core_test, restarts_tasks_of_a_lost_agent_after_its_run_leases_expire) {
     prepare();
     connect_agent();
@@ -651,6 +652,9 @@
     EXPECT_TRUE(take_starts(12).empty());
     advance_time(milliseconds{100});
     EXPECT_EQ(take_starts(12).size(), 1U);
+    EXPECT_EQ(entry_.known_agents(), 2U);
+    advance_time(durable_owner_absence);
+    EXPECT_EQ(entry_.known_agents(), 1U);
 }
 
 // Guards against a second run of a durable task that has ended `done` at an agent behind a partition. The
