Test that a task without capacity does not hold back smaller ones

The earlier test case passed also with the comparison of needs left out, because the larger task was expected to fit later. It now fails then.

--- a/tests/placement_forecast_test.cpp
+++ b/tests/placement_forecast_test.cpp
@@ -334,8 +334,8 @@
                   1U);
         // A task that finds no capacity keeps larger ones from being evaluated, but not smaller ones.
         agent.profile.is_on_probation = false;
-        ledger_job& larger = add_job(ledger, "aa", 1, 9000);
-        const run_plan mixed = planner.plan({&large, &larger, &small}, agents, run_time_model{},
+        ledger_job& too_large = add_job(ledger, "aa", 2, 40000);
+        const run_plan mixed = planner.plan({&too_large, &small}, agents, run_time_model{},
                                             deployment_config{}, time_point{100s});
         ASSERT_EQ(mixed.runs.size(), 1U);
         EXPECT_EQ(mixed.runs[0].task.job, "b");
