--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -849,14 +849,17 @@
 // against a backend server that gets its full capacity back as soon as its pause ends.
 TEST_F(agent_core_test, reports_a_suspect_backend_server_to_entries) {
     connect_and_synchronize();
-    const auto is_suspect = [&] {
-        bool result = false;
+    const auto last_profile = [&] {
+        agent_profile result;
         for (const work_message& message : messages_) {
             if (const auto* profile = std::get_if<agent_profile>(&message))
-                result = profile->is_suspect;
+                result = *profile;
         }
         return result;
     };
+    const auto is_suspect = [&] {
+        return last_profile().is_suspect;
+    };
     const auto fail = [&](const job_id& job, std::uint64_t number) {
         send_starts(1, false, job);
         answer(*take_order<start_order>(), backend_verdict::accepted);
@@ -874,12 +877,14 @@
             answer(*hold, backend_verdict::accepted);
     }
     EXPECT_FALSE(is_suspect());
+    EXPECT_TRUE(last_profile().is_on_probation);
     EXPECT_LT(last_room().free.cpu_millicores, 10000 / 4);
     send_starts(1, false, "c");
     answer(*take_order<start_order>(), backend_verdict::accepted);
     answer(*take_order<hold_order>(), backend_verdict::accepted, {},
            {{3, run_of(0, "c"), run_state::done, {}}});
     EXPECT_EQ(last_room().free.cpu_millicores, 10000);
+    EXPECT_FALSE(last_profile().is_on_probation);
 }
 
 // Guards against avoiding a healthy backend server because of jobs that fail on every backend server.
@@ -1362,6 +1367,25 @@
     EXPECT_EQ(std::get<start_order>(start->action).run, run_of(3));
 }
 
+// Guards against treating a run of unknown urgency like one whose job will be late.
+TEST_F(run_queue_agent_test, starts_a_run_of_unknown_urgency_before_a_late_one) {
+    fill(milliseconds{20});
+    send_start(3, milliseconds{60}, milliseconds{-1});
+    advance_with_contact(milliseconds{1});
+    send_start(4, milliseconds{60});
+    auto hold = take_order<hold_order>();
+    for (int i = 0; i < 20 && !hold; ++i) {
+        advance_with_contact(milliseconds{1});
+        hold = take_order<hold_order>();
+    }
+    ASSERT_TRUE(hold);
+    answer(*hold, backend_verdict::accepted, {{run_of(1), {}, 50}, {run_of(2), {}, 50}},
+           {{1, run_of(0), run_state::done, {}}});
+    const auto start = take_order<start_order>();
+    ASSERT_TRUE(start);
+    EXPECT_EQ(std::get<start_order>(start->action).run, run_of(4));
+}
+
 // Guards against a prediction while the agent does not know what its backend server runs.
 TEST_F(run_queue_agent_test, keeps_the_queue_timeout_while_runs_are_unclaimed) {
     advance_with_contact(milliseconds{200});
