Wait for conditions instead of times in the tests of the HTTP server

Cause: three tests slept for a fixed time, which can be too short on a busy machine. Change: they wait for an answer or for the closing of another connection, which prove that the server has gone on.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -64,6 +64,13 @@
         return result;
     }
 
+    // Waits until the server has closed a connection that began later because it makes no progress.
+    static void wait_for_progress_check(const http_server& server) {
+        raw_connection silent{server.address()};
+        silent.send("GET");
+        silent.read_to_end();
+    }
+
     // Answers with what it has received; the text "end" marks the end of the answer.
     static void echo(const http_request& request, const http_responder& respond) {
         http_response response;
@@ -91,6 +98,7 @@
             const std::lock_guard lock{mutex_};
             if (waiting_.size() >= count)
                 return;
+            std::this_thread::yield();
         }
     }
 
@@ -305,7 +313,10 @@
         const std::string start =
             "POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(19'999, 'a');
         unfinished.send(start);
-        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        // Requests are read in the order of arrival, so the unfinished one has been read after this answer.
+        raw_connection probe{server.address()};
+        probe.send("GET / HTTP/1.1\r\n\r\n");
+        probe.read_until("\r\n\r\n");
         raw_connection client{server.address()};
         client.send(start + 'a');
         EXPECT_TRUE(contains(client.read_until("\r\n\r\n"), "200 OK")) << count;
@@ -325,8 +336,8 @@
     http_server server{"127.0.0.1:0", 1, quick, slow.handler()};
     raw_connection client{server.address()};
     client.send(slow_request + "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
-    std::this_thread::sleep_for(std::chrono::seconds{1});
     slow.wait_for(1);
+    wait_for_progress_check(server);
     slow.answer(0);
     const std::string answers = client.read_to_end();
     EXPECT_TRUE(contains(answers, "slow 0")) << answers;
@@ -370,7 +381,7 @@
     for (int i = 0; i < 2; ++i) {
         client.send("GET / HTTP/1.1\r\n\r\n\r\n");
         EXPECT_TRUE(contains(client.read_until(" end"), "200 OK")) << i;
-        std::this_thread::sleep_for(std::chrono::milliseconds{300});
+        wait_for_progress_check(server);
     }
 }
 
