--- a/coordination/entry_balance.cpp
+++ b/coordination/entry_balance.cpp
@@ -49,7 +49,7 @@
             demand.is_unreachable = false;
             has_capacity = has_capacity || (!demand.is_spread && demand.needs.fits_in(agent.free()));
         }
-        if (!has_capacity)
+        if (!has_capacity && (demand.is_unreachable || limits_.borrows_when_full))
             demands.push_back(std::move(demand));
     }
     std::map<std::string, link_number> lenders;
--- a/coordination/entry_limits.h
+++ b/coordination/entry_limits.h
@@ -61,6 +61,9 @@
     bool forecasts_placement = false;
     // Ask other entries for agents while tasks wait for capacity; a setting.
     bool borrows_agents = false;
+    // Not only for tasks that no connected agent could ever run, but also while all connected agents are
+    // full.
+    bool borrows_when_full = true;
     // Number of entries that an agent serves by its own choice, and how long it serves another entry that has
     // requested it. Both are the values of the agents.
     std::size_t entries_per_agent = agent_limits{}.max_entries;
--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -24,6 +24,12 @@
 //   forecast       by expected end, with the time at which capacity comes free
 enum class placement_kind : std::uint8_t { free_capacity, forecast };
 
+// When an entry asks other entries for agents.
+//   never        it places tasks only at the agents that serve it
+//   unreachable  if no agent that serves it could ever run a waiting task
+//   full         also if no agent that serves it has free capacity for a waiting task
+enum class agent_borrowing : std::uint8_t { never, unreachable, full };
+
 // The order in which an agent starts queued runs.
 //   arrival  in the order of arrival
 //   urgency  by the time left until they must start, with a fair share for each entry
@@ -96,8 +102,8 @@
     // Entries only.
     admission_kind admission = admission_kind::wait;
     placement_kind placement = placement_kind::free_capacity;
-    // Entries only: ask other entries for agents while tasks wait for capacity.
-    bool borrow_agents = false;
+    // Entries only.
+    agent_borrowing borrow_agents = agent_borrowing::never;
     // Agents only.
     run_queue_kind run_queue = run_queue_kind::arrival;
 
--- a/protocol/settings_reader.cpp
+++ b/protocol/settings_reader.cpp
@@ -83,7 +83,8 @@
     "admission": {"enum": ["wait", "forecast"], "description": "\"wait\" or \"forecast\""},
     "placement": {"enum": ["free_capacity", "forecast"],
                   "description": "\"free_capacity\" or \"forecast\""},
-    "borrow_agents": {"type": "boolean", "description": "true or false"},
+    "borrow_agents": {"enum": ["never", "unreachable", "full"],
+                      "description": "\"never\", \"unreachable\" or \"full\""},
     "run_queue": {"enum": ["arrival", "urgency"], "description": "\"arrival\" or \"urgency\""},
     "trace_file": {"type": "string", "description": "a path for trace spans, or an empty string"},
     "trace_url": {"type": "string",
@@ -116,13 +117,6 @@
     return number;
 }
 
-// Text that is neither true nor false stays a string, which the schema then reports.
-json boolean_from(const std::string& text) {
-    if (text == "true" || text == "false")
-        return text == "true";
-    return text;
-}
-
 // Text that is no number stays a string, which the schema then reports.
 json number_from(const std::string& text) {
     double number = 0;
@@ -143,9 +137,6 @@
     if (type == "number") {
         return number_from(item.text);
     }
-    if (type == "boolean") {
-        return boolean_from(item.text);
-    }
     return type == "integer" ? integer_from(item.text) : json(item.text);
 }
 
@@ -301,7 +292,10 @@
     settings.placement = document.value("placement", "free_capacity") == "forecast"
                              ? placement_kind::forecast
                              : placement_kind::free_capacity;
-    read_member(document, "borrow_agents", settings.borrow_agents);
+    const std::string borrowing = document.value("borrow_agents", "never");
+    settings.borrow_agents = borrowing == "full"          ? agent_borrowing::full
+                             : borrowing == "unreachable" ? agent_borrowing::unreachable
+                                                          : agent_borrowing::never;
     settings.run_queue = document.value("run_queue", "arrival") == "urgency" ? run_queue_kind::urgency
                                                                              : run_queue_kind::arrival;
     return settings;
--- a/tests/agent_balance_test.cpp
+++ b/tests/agent_balance_test.cpp
@@ -235,14 +235,15 @@
     // Has no room_request and would close its link if it got one.
     static constexpr int older_peer = 5;
 
-    static entry_limits limits_with(bool borrows_agents) {
+    static entry_limits limits_with(bool borrows_agents, bool borrows_when_full) {
         entry_limits limits;
         limits.borrows_agents = borrows_agents;
+        limits.borrows_when_full = borrows_when_full;
         return limits;
     }
 
-    explicit borrowing_entry_test(bool borrows_agents = true)
-        : entry_core_test{limits_with(borrows_agents)} {}
+    explicit borrowing_entry_test(bool borrows_agents = true, bool borrows_when_full = true)
+        : entry_core_test{limits_with(borrows_agents, borrows_when_full)} {}
 
     void start() {
         for (int i = 0; i < peers; ++i) {
@@ -267,12 +268,12 @@
         return request;
     }
 
-    std::set<link_number> asked_peers() {
+    std::set<link_number> asked_peers(const std::string& label = "label") {
         std::set<link_number> asked;
         for (link_number link = first_peer_link; link < first_peer_link + peers; ++link) {
             for (const room_request& request : take_messages<room_request>(link)) {
                 EXPECT_EQ(request.entry_address, self().peer_address);
-                EXPECT_EQ(request.required_label, "label");
+                EXPECT_EQ(request.required_label, label);
                 asked.insert(link);
             }
         }
@@ -286,6 +287,30 @@
         : borrowing_entry_test{false} {}
 };
 
+class unreachable_only_entry_test : public borrowing_entry_test {
+protected:
+    unreachable_only_entry_test()
+        : borrowing_entry_test{true, false} {}
+};
+
+// Guards against requests that cost a small entry more than they gain, for tasks that its own agents will
+// run.
+TEST_F(unreachable_only_entry_test, asks_for_tasks_that_no_agent_can_run_and_not_for_lack_of_capacity) {
+    start();
+    submit(job("b", false, 40));
+    advance_time(milliseconds{500});
+    EXPECT_TRUE(asked_peers("").empty());
+    submit(labelled_job());
+    EXPECT_FALSE(asked_peers().empty());
+}
+
+// Guards against requests that are not sent although the setting asks for them.
+TEST_F(borrowing_entry_test, asks_for_lack_of_capacity) {
+    start();
+    submit(job("b", false, 40));
+    EXPECT_FALSE(asked_peers("").empty());
+}
+
 // Guards against review/7: the only backend server that fits a job serves other entries, and the job never
 // starts. Guards also against a request to an older entry, which would close the link.
 TEST_F(borrowing_entry_test, asks_every_entry_for_a_label_that_no_agent_has) {
--- a/tests/settings_reader_test.cpp
+++ b/tests/settings_reader_test.cpp
@@ -65,19 +65,19 @@
     EXPECT_EQ(defaults.admission, admission_kind::wait);
     EXPECT_EQ(defaults.placement, placement_kind::free_capacity);
     EXPECT_EQ(defaults.run_queue, run_queue_kind::arrival);
-    EXPECT_FALSE(defaults.borrow_agents);
+    EXPECT_EQ(defaults.borrow_agents, agent_borrowing::never);
 
     const auto set = parse_settings("s.json", entry_text,
                                     {{"admission", "forecast"},
                                      {"placement", "forecast"},
                                      {"run_queue", "urgency"},
-                                     {"borrow_agents", "true"}});
+                                     {"borrow_agents", "unreachable"}});
     ASSERT_TRUE(std::holds_alternative<daemon_settings>(set));
     const auto& chosen = std::get<daemon_settings>(set);
     EXPECT_EQ(chosen.admission, admission_kind::forecast);
     EXPECT_EQ(chosen.placement, placement_kind::forecast);
     EXPECT_EQ(chosen.run_queue, run_queue_kind::urgency);
-    EXPECT_TRUE(chosen.borrow_agents);
+    EXPECT_EQ(chosen.borrow_agents, agent_borrowing::unreachable);
 
     const findings all = findings_of(entry_text, {{"admission", "later"}, {"borrow_agents", "yes"}});
     EXPECT_NE(at(all, "/admission"), nullptr);
