Fit all limits together into the memory of the smallest entry

Cause: with 48 MiB for requests the limits of one process had a sum of 128 MiB, more than the 120 MB of the smallest entry. Change: request_memory_mb is 24 by default, 18 MiB of it for callers: 72 bodies of the largest size at a time.

--- a/protocol/daemon_settings.h
+++ b/protocol/daemon_settings.h
@@ -63,7 +63,7 @@
     // Entries only: the peer address that others use, if it is not the one that is bound.
     std::string advertised_peer_address;
     // Memory in MiB for requests that are received or handled, and responses that are not yet written.
-    std::uint32_t request_memory_mb = 48;
+    std::uint32_t request_memory_mb = 24;
     // Connections of callers. A quarter of the process's descriptors is always left for other uses.
     std::uint32_t max_connections = 2000;
     // Longest pause within a request.
