--- a/tests/entry_api_test.cpp
+++ b/tests/entry_api_test.cpp
@@ -250,7 +250,8 @@
     if (!answer->empty()) {
         EXPECT_EQ(answer->substr(0, 12), "HTTP/1.1 413");
     }
-    EXPECT_LT(peak_memory_kib() - before, memory_limit_kib);
+    // The kernel sums the counters of threads up late, so the peak may seem to fall by some pages.
+    EXPECT_LT(peak_memory_kib(), before + memory_limit_kib);
     expect_complete_job("after-huge");
 }
 
