Add review case 14: a cancelled job goes on at an entry that wakes

Cause: an entry acknowledges that a job is cancelled once all entries that it believes alive have answered. One that was frozen for two seconds counts as gone, is told nothing when it is back, and goes on with its jobs that are not kept.

--- a/review/harness-3/cases.h
+++ b/review/harness-3/cases.h
@@ -13,5 +13,6 @@
 int play_case_11(const case_options& options);
 int play_case_12(const case_options& options);
 int play_case_13(const case_options& options);
+int play_case_14(const case_options& options);
 
 } // namespace persimmonstile::review
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -13,7 +13,10 @@
 int main(int argc, char** argv) {
     using namespace persimmonstile;
     const std::map<std::string, std::function<int(const review::case_options&)>> cases{
-        {"11", review::play_case_11}, {"12", review::play_case_12}, {"13", review::play_case_13}};
+        {"11", review::play_case_11},
+        {"12", review::play_case_12},
+        {"13", review::play_case_13},
+        {"14", review::play_case_14}};
     if (argc != 6 || !cases.contains(argv[1])) {
         std::cerr << "usage: review3 CASE PROGRAM WORK RECORD TROUBLE\n";
         return review::not_run;
