Add review case 15: Pending is 0 while a killed entry is not adopted

Cause: an entry forgets the number of waiting jobs of another one when the connection to it closes, and nobody counts these jobs until they are adopted.

Done: a script in which 20 stored jobs wait at an entry that is killed, while another entry is asked for the number of pending jobs.

--- a/review/harness-3/cases.h
+++ b/review/harness-3/cases.h
@@ -14,5 +14,6 @@
 int play_case_12(const case_options& options);
 int play_case_13(const case_options& options);
 int play_case_14(const case_options& options);
+int play_case_15(const case_options& options);
 
 } // namespace persimmonstile::review
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -16,7 +16,8 @@
         {"11", review::play_case_11},
         {"12", review::play_case_12},
         {"13", review::play_case_13},
-        {"14", review::play_case_14}};
+        {"14", review::play_case_14},
+        {"15", review::play_case_15}};
     if (argc != 6 || !cases.contains(argv[1])) {
         std::cerr << "usage: review3 CASE PROGRAM WORK RECORD TROUBLE\n";
         return review::not_run;
