Bring the review's doses inside the limits and close false passes

Cause: the disruptions ended 1 to 44 ms beyond the site's limits, and three players could end with 0 where the case had not taken place.

--- a/review/harness-3/case_11.cpp
+++ b/review/harness-3/case_11.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds cancel_patience{1500};
 constexpr milliseconds cancel_pause{200};
 
-// The longest freeze of a machine in the site file.
-constexpr milliseconds freeze{3500};
+// A little less than the longest one of the site file, 3.5 s, because signals are sent on a grid.
+constexpr milliseconds freeze{3400};
 
 // From the beginning of the freeze until the client cancels the job.
 constexpr milliseconds time_to_cancel{1500};
--- a/review/harness-3/case_12.cpp
+++ b/review/harness-3/case_12.cpp
@@ -1,6 +1,7 @@
 #include "review/harness-3/cases.h"
 #include "review/harness-3/world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstddef>
 #include <cstdint>
@@ -15,8 +16,8 @@
 constexpr int entries = 3;
 constexpr int agents = 11;
 
-// The longest freeze of a machine in the site file.
-constexpr milliseconds freeze{3500};
+// A little less than the longest one of the site file, 3.5 s, because signals are sent on a grid.
+constexpr milliseconds freeze{3400};
 
 // The kinds of request of the site file, with their shares of the requests.
 struct request_kind {
@@ -119,6 +120,10 @@
     if (!site.run_until(have_ended, milliseconds{20000}))
         return not_run;
     site.run_for(milliseconds{1000});
+    // Without a resent job the case shows nothing.
+    if (options.has_trouble &&
+        std::none_of(jobs.begin(), jobs.end(), [](const client_job& job) { return job.sends > 1; }))
+        return not_run;
     std::size_t broken = 0;
     for (const client_job& job : jobs) {
         for (const std::string& overlap : site.overlaps(job.id)) {
--- a/review/harness-3/case_13.cpp
+++ b/review/harness-3/case_13.cpp
@@ -21,8 +21,8 @@
 // RetransmitMs: a client sends a job without an answer again after this time.
 constexpr milliseconds resend_delay{1300};
 
-// The longest outage of the store in the site file.
-constexpr milliseconds outage{4500};
+// A little less than the longest outage of the store in the site file, 4.5 s.
+constexpr milliseconds outage{4400};
 constexpr milliseconds outage_before_kill{400};
 constexpr milliseconds submit_before_kill{200};
 constexpr milliseconds restart_delay{550};
@@ -77,7 +77,11 @@
     if (!site.run_until([&] { return first->has_arrived; }, 2 * patience))
         return not_run;
     // A refusal is final.
-    if (first->answer.status == 0 || first->answer.status == 502 || first->answer.status == 504) {
+    const long status = first->answer.status;
+    const bool is_unanswered = status == 0 || status == 502 || status == 504;
+    if (options.has_trouble && !is_unanswered)
+        return not_run;
+    if (is_unanswered) {
         site.run_until([&] { return site.now() >= first->at + resend_delay; }, resend_delay);
         const auto second = site.submit(1, job, plan, patience);
         site.run_until([&] { return second->has_arrived; }, 2 * patience);
--- a/review/harness-3/case_14.cpp
+++ b/review/harness-3/case_14.cpp
@@ -23,8 +23,8 @@
 // visible_ms and 2 s: jobs that were accepted longer ago have to be counted.
 constexpr milliseconds counted_after{5000};
 
-// The longest absence of a killed machine in the site file.
-constexpr milliseconds absence{3500};
+// Less than the longest absence of a killed machine in the site file, 3.5 s, by the time of a question.
+constexpr milliseconds absence{3300};
 constexpr milliseconds watched_before_kill{1000};
 constexpr milliseconds watched_after_kill{6000};
 constexpr milliseconds ask_interval{100};
@@ -53,6 +53,7 @@
     bool is_killed = false;
     bool is_back = false;
     int wrong = 0;
+    int answered_while_absent = 0;
     while (site.now() < begun + watched_before_kill + watched_after_kill) {
         const auto since = site.now() - begun;
         if (options.has_trouble && !is_killed && since >= watched_before_kill) {
@@ -69,6 +70,8 @@
         site.run_until([&] { return answer->has_arrived; }, 2 * patience);
         // Runs that end or begin again can change the number by the number of executors.
         const int pending = pending_in(answer->answer);
+        if (pending >= 0 && is_killed && !is_back)
+            ++answered_while_absent;
         if (pending >= 0 && 2 * pending < waiting_jobs - executors) {
             site.record("MIXED: edge-1 gives " + std::to_string(pending) + " as Pending, while at least " +
                         std::to_string(waiting_jobs - executors) + " accepted jobs have not begun");
@@ -76,6 +79,8 @@
         }
         site.run_for(ask_interval);
     }
+    if (options.has_trouble && answered_while_absent == 0)
+        return not_run;
     return wrong == 0 ? rule_held : rule_broken;
 }
 
--- a/review/harness-3/case_15.cpp
+++ b/review/harness-3/case_15.cpp
@@ -16,10 +16,10 @@
 // finish_s: jobs are asked for this long after the end of the traffic.
 constexpr milliseconds finish{14000};
 
-// The store answers in 4 ms, and 60 times as slowly for 4.5 s.
+// The store answers in 4 ms, and 60 times as slowly for a little less than 4.5 s.
 constexpr milliseconds store_delay{4};
 constexpr milliseconds slow_store_delay{240};
-constexpr milliseconds slow_time{4500};
+constexpr milliseconds slow_time{4400};
 
 } // namespace
 
