Renew no lease of found runs before an entry has claimed them

What callers saw: with the store down, the entry of a best-effort job and an agent are killed.

Cause: a restarted agent raised its token with a full lease before it had read the lists of its backend server, and lease_to_request passed over runs without an owner. Only the question to the store whether the job is known stopped such runs soon enough, and the store was down.

How long ago that contact was is unknown after a restart; any renewal can be too long. Nothing is renewed now until the lists are read and every run has an owner. A run that no connected entry claims within 0.2 s is stopped, because the lease belongs to all runs at the backend server, also to those of live entries.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -192,6 +192,7 @@
     void refuse_queued(run_refusal reason, time_point now);
     std::optional<run_refusal> refusal_reason() const;
     bool is_owner_present(const incarnation& owner, bool is_durable, time_point now) const;
+    time_point claim_deadline(const run_record& record) const;
     void check_owner_contact(time_point now);
     void check_timeouts(time_point now);
 
@@ -314,6 +315,8 @@
     std::set<std::string> zones_out_;
     std::uint64_t zones_version_ = 0;
     time_point last_orphan_offer_{};
+    // When an entry was last sent the inventories for the first time.
+    std::optional<time_point> entry_introduced_at_;
     agent_profile sent_profile_;
     // leaves_at_ when sent_profile_ was sent.
     std::optional<time_point> sent_departure_;
--- a/coordination/agent_limits.h
+++ b/coordination/agent_limits.h
@@ -84,6 +84,10 @@
     // Interval at which runs without a known owner are offered to all entries. An entry may have adopted
     // their jobs since the last offer.
     milliseconds orphan_offer_interval{1000};
+    // A run that was found at the backend server is stopped if none of the connected entries has claimed it
+    // within this time, several times a round trip. No lease is renewed meanwhile, so longer waits would cost
+    // the claimed runs too.
+    milliseconds claim_timeout{200};
     // If the owner of an ended run has been unreachable for this time, the end is offered to all entries,
     // because the owner's successor may never have connected to this agent.
     milliseconds owner_absence_timeout = durable_owner_absence;
--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -118,11 +118,15 @@
 
 // The caller of a non-durable job sends it to another entry once its own has been away for
 // caller_resend_delay. The run must have ended by then even if this agent stops working now, so the lease is
-// bounded by the last contact to the owner and not only by the stop order that follows it.
+// bounded by the last contact to the owner and not only by the stop order that follows it. How long the owner
+// of a run that is not claimed or not even listed yet has been away is not known, so nothing is renewed: the
+// leases that a former process of this agent requested have the same bound.
 milliseconds agent_core::lease_to_request(time_point now) {
+    if (!is_synchronized_ || has_unclaimed_runs())
+        return milliseconds{0};
     milliseconds lease = limits_.requested_lease();
     runs_.for_each([&](const run_record& record) {
-        if (record.is_durable || record.owner.name.empty() || !uses_present_capacity(record))
+        if (record.is_durable || !uses_present_capacity(record))
             return;
         const auto owner = owners_.find(record.owner);
         const time_point contact = owner == owners_.end() ? record.accepted : owner->second.last_contact;
@@ -557,6 +561,7 @@
     const link_state& state = links_[link];
     if (state.process.name.empty())
         return;
+    entry_introduced_at_ = now;
     // Runs without a known owner are sent first, or their owner would treat them as lost.
     send_inventory(link, {}, now);
     send_inventory(link, state.process, now);
--- a/coordination/agent_runs.cpp
+++ b/coordination/agent_runs.cpp
@@ -79,6 +79,15 @@
                      (is_durable ? owner_contact_lease : caller_contact_lease(limits_.caller_resend_delay));
 }
 
+// Time by which an entry must have claimed a run that the agent found. The lists do not say whether it is
+// durable, so caller_contact_lease applies to all of them.
+time_point agent_core::claim_deadline(const run_record& record) const {
+    const time_point latest = record.accepted + caller_contact_lease(limits_.caller_resend_delay);
+    if (!entry_introduced_at_)
+        return latest;
+    return std::min(latest, std::max(record.accepted, *entry_introduced_at_) + limits_.claim_timeout);
+}
+
 // Stops runs that have expired or whose owner has been unreachable for too long. An entry that cannot reach
 // this agent waits for longer than that and the bound of the run lease, and then relies on the runs having
 // ended. Ended runs of an owner that stays away lose their owner, so that they are offered to
@@ -94,12 +103,10 @@
         }
         if (is_final(record.state) || record.is_stop_requested)
             return;
-        // A run that the agent found at the backend server has no owner until an entry claims it. The lists
-        // do not say whether it is durable, so caller_contact_lease applies to all unclaimed runs.
+        // A run that the agent found at the backend server has no owner until an entry claims it.
         const bool is_claimed = !record.owner.name.empty();
-        const bool has_owner =
-            is_claimed ? is_owner_present(record.owner, record.is_durable, now)
-                       : now < record.accepted + caller_contact_lease(limits_.caller_resend_delay);
+        const bool has_owner = is_claimed ? is_owner_present(record.owner, record.is_durable, now)
+                                          : now < claim_deadline(record);
         if (!has_owner || now >= record.expires_at)
             abandoned.push_back(record.run);
     });
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1017,6 +1017,66 @@
     EXPECT_TRUE(is_published);
 }
 
+// Guards against two runs of a best-effort task: its entry and the agent are killed, the agent finds the run
+// after its restart and renews the lease, and the caller has sent the job to another entry meanwhile. Found
+// by the third review, case 13.
+TEST_F(agent_core_test, renews_no_lease_before_all_found_runs_are_claimed) {
+    connect();
+    announce(profile());
+    const auto first = take_order<hold_order>();
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(std::get<hold_order>(first->action).renews);
+    const std::vector<listed_run> found{{run_of(0, "found"), {}, 50}, {run_of(1, "found"), {}, 50}};
+    answer(*first, backend_verdict::accepted, found);
+    const auto claim = [&](task_index index) {
+        agent_.received(entry_link,
+                        run_claim{process_, false, {{run_of(index, "found"), {task_millicores, 64, 0}}}},
+                        now_);
+    };
+    const auto is_renewed = [&] {
+        bool renews = false;
+        for (int i = 0; i < 5; ++i) {
+            advance_time(milliseconds{10});
+            for (auto hold = take_order<hold_order>(); hold; hold = take_order<hold_order>()) {
+                renews = renews || std::get<hold_order>(hold->action).renews;
+                answer(*hold, backend_verdict::accepted, found);
+            }
+        }
+        return renews;
+    };
+    EXPECT_FALSE(is_renewed());
+    claim(0);
+    EXPECT_FALSE(is_renewed());
+    claim(1);
+    EXPECT_TRUE(is_renewed());
+}
+
+// Guards against the loss of the runs of live entries: their lease is not renewed while a run that a lost
+// entry has left behind waits for a claim.
+TEST_F(agent_core_test, stops_a_found_run_that_no_connected_entry_claims_and_keeps_the_others) {
+    connect();
+    announce(profile());
+    const std::vector<listed_run> found{{run_of(0, "claimed"), {}, 50}, {run_of(1, "left"), {}, 50}};
+    answer(*take_order<hold_order>(), backend_verdict::accepted, found);
+    agent_.received(entry_link,
+                    run_claim{process_, false, {{run_of(0, "claimed"), {task_millicores, 64, 0}}}}, now_);
+    advance_time(agent_limits{}.claim_timeout - milliseconds{10});
+    EXPECT_FALSE(take_order<stop_order>());
+    send_pong();
+    advance_time(milliseconds{10});
+    const auto stop = take_order<stop_order>();
+    ASSERT_TRUE(stop);
+    EXPECT_EQ(std::get<stop_order>(stop->action).run, run_of(1, "left"));
+    answer(*stop, backend_verdict::accepted);
+    answer(*take_order<hold_order>(), backend_verdict::accepted, {found[0]},
+           {{1, run_of(1, "left"), run_state::stopped, {}}});
+    advance_time(milliseconds{10});
+    const auto next = take_order<hold_order>();
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(std::get<hold_order>(next->action).renews);
+    EXPECT_FALSE(take_order<stop_order>());
+}
+
 // Guards against found runs that no owner claims and that would block new starts on the backend server.
 TEST_F(agent_core_test, stops_found_runs_that_no_owner_claims) {
     connect();
