Tell runs of the same number at different agents apart

An agent that has restarted offers the run of a lost entry. The entry to which the caller has sent the job again claims it and lets it go on beside its own run of that task.

Cause: every entry numbers the runs of a best-effort job from 1, and is_obsolete compared the number only. The run of the lost entry counted as the current one, although the current one is at another agent.

A run is current only at the agent at which its task is placed, so the other one is stopped at once. Its end changes nothing, because the ledger ignores reports on the current number from another agent already.

The new test fails when the agent is not compared.

--- a/coordination/entry_agents.cpp
+++ b/coordination/entry_agents.cpp
@@ -235,7 +235,7 @@
         // whether the job has ended.
         if (job == nullptr && message.owner != process_ && !ended_jobs_.find(report.run.task.job))
             orphans_.add(agent.number, report, now);
-        else if (job == nullptr || is_obsolete(*job, report.run))
+        else if (job == nullptr || is_obsolete(*job, report.run, agent.number))
             obsolete.runs.push_back(report.run);
     }
     if (obsolete.runs.empty())
@@ -247,10 +247,11 @@
 }
 
 // Whether a run in progress is not needed: its job is ending, its task has ended, or another run of the task
-// counts.
-bool entry_core::is_obsolete(ledger_job& job, const run_ref& run) {
+// counts. Each entry numbers the runs of a non-durable job from 1, so a run that a lost entry has left at
+// this agent may have the number of a run at another one.
+bool entry_core::is_obsolete(ledger_job& job, const run_ref& run, agent_number agent) {
     const ledger_task* task = job_ledger::find_task_of_run(job, run);
-    const bool is_current = task != nullptr && task->run == run.run &&
+    const bool is_current = task != nullptr && task->run == run.run && task->agent == agent &&
                             (task->phase == task_phase::placed || task->phase == task_phase::running);
     return job.phase == job_phase::ending || !is_current;
 }
@@ -276,7 +277,7 @@
             (job->is_durable() ? durable_claim : non_durable_claim)
                 .runs.push_back({report.run, job->step(report.run.task.step).task_needs});
         apply_report(agent, report, now);
-        if (!is_final(report.state) && is_obsolete(*job, report.run)) {
+        if (!is_final(report.state) && is_obsolete(*job, report.run, agent.number)) {
             const ledger_task* task = job_ledger::find_task_of_run(*job, report.run);
             (job->is_durable() ? durable_stop : non_durable_stop).runs.push_back(report.run);
             record_decision("agent found a run that is not needed any more; stopping it", report.run.task.job,
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -135,7 +135,7 @@
     static std::int64_t used_millicore_ms(const ledger_job& job, const run_report& report);
     static void mark_started(ledger_job& job);
     void stop_obsolete_runs(agent_view& agent, const run_inventory& message, time_point now);
-    static bool is_obsolete(ledger_job& job, const run_ref& run);
+    static bool is_obsolete(ledger_job& job, const run_ref& run, agent_number agent);
     void stop_other_run(ledger_job& job, const run_ref& done);
     void update_run_time_estimates(agent_view& agent, ledger_job& job, const run_report& report,
                                    const ledger_task& task);
--- a/tests/entry_core_test.cpp
+++ b/tests/entry_core_test.cpp
@@ -430,6 +430,29 @@
     EXPECT_TRUE(take_messages<run_stop_request>(other_link).empty());
 }
 
+// Guards against two runs of a best-effort task: a restarted agent finds the run of a lost entry, and the
+// entry to which the caller has sent the job takes it for its own run of that number at another agent. Found
+// by the third review, case 13.
+TEST_F(entry_core_test, stops_a_found_run_with_the_number_of_its_run_at_another_agent) {
+    constexpr link_number other_link = 12;
+    prepare();
+    connect_agent();
+    submit(job("a", false, 1));
+    const std::vector<run_ref> own = take_starts();
+    ASSERT_EQ(own.size(), 1U);
+    introduce_agent(other_link, "other", 1);
+    entry_.received(other_link, run_inventory{{}, {report_of(own[0], run_state::running)}, 0}, now_, wall_);
+    collect();
+    const std::vector<run_stop_request> stops = take_messages<run_stop_request>(other_link);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].runs, own);
+    EXPECT_TRUE(take_messages<run_stop_request>().empty());
+    report(report_of(own[0], run_state::stopped), other_link);
+    EXPECT_TRUE(take_starts().empty());
+    report(report_of(own[0], run_state::done));
+    EXPECT_EQ(replies_.size(), 1U);
+}
+
 // Guards against a run that goes on while its caller sends the job to another entry: the stop was lost with
 // the connection to the agent.
 TEST_F(entry_core_test, stops_a_run_whose_job_was_dropped_while_its_agent_was_away) {
