Start nothing for callers that left while the entry was away

What callers saw: an entry is frozen for 3.4 s. Its callers give up after 1.5 s and send their jobs to another entry, which runs them.

The kernel had delivered the request and the end together, but a connection handled what it had read before it looked for more. The same holds for jobs that were accepted before the freeze: the end of their connections is one event among many, and reports of lapsed runs may come first and place the tasks again.

A connection reads up to the end of the stream before it hands a request over, and says whether the client has left; a best-effort job of such a client is not taken. After the event loop has stood still for 0.1 s, by a clock that counts suspension, the entry looks for departed callers at all open connections before it handles the next event, and sends nothing until this is done. Cost: one more read for each request.

--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -69,6 +69,7 @@
              entry_key(settings.name)}
     , wakeup_timer_{context}
     , load_probe_timer_{context}
+    , pauses_{clock.now()}
     , own_address_{make_member(settings).peer_address} {
     links_.listen(settings.peer_address);
     schedule_load_probe();
@@ -79,11 +80,35 @@
 void durable_entry::handle_event(const std::function<void()>& event) {
     if (is_stopped_)
         return;
+    // The output waits until all departed callers are known.
+    if (is_dropping_callers_) {
+        event();
+        return;
+    }
+    drop_departed_callers();
     event();
     perform_output();
     schedule_wakeup();
 }
 
+// The end of a connection is one event among many, so after a pause tasks could be placed for callers whose
+// departure waits to be read. Such a caller may have sent its job to another entry already.
+void durable_entry::drop_departed_callers() {
+    if (!interfaces_.close_abandoned || !pauses_.is_paused(clock_.now()))
+        return;
+    pauses_.turned(clock_.now());
+    is_dropping_callers_ = true;
+    const std::size_t dropped = interfaces_.close_abandoned();
+    is_dropping_callers_ = false;
+    log_event(log_level::warn, component, "the process was suspended or is far behind with its events",
+              {{"callers_left", static_cast<std::int64_t>(dropped)}});
+}
+
+void durable_entry::catch_up_after_pause() {
+    if (pauses_.is_paused(clock_.now()))
+        handle_event([] {});
+}
+
 void durable_entry::perform_output() {
     const time_point now = clock_.now();
     if (core_.take_config_change()) {
@@ -146,6 +171,8 @@
     const time_point now = clock_.now();
     const bool was_overloaded = overload_.is_overloaded();
     overload_.timer_fired(due, now);
+    catch_up_after_pause();
+    pauses_.turned(now);
     if (overload_.is_overloaded() == was_overloaded)
         return;
     const auto lateness = std::chrono::duration_cast<milliseconds>(now - due);
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -3,6 +3,7 @@
 #include "coordination/connection_shedder.h"
 #include "coordination/entry_core.h"
 #include "coordination/overload_detector.h"
+#include "coordination/presence/pause_detector.h"
 #include "daemon/entry_metrics.h"
 #include "daemon/peer_links.h"
 #include "daemon/store_router.h"
@@ -39,6 +40,9 @@
         config_decoder decode_config;
         // Store key prefix of the operators' records.
         std::string config_prefix;
+        // Closes the connections of callers that have left, which calls caller_left() for their requests, and
+        // returns the number of connections. May be empty.
+        std::function<std::size_t()> close_abandoned = {};
     };
 
     // Binds the peer address. Throws std::exception if that fails.
@@ -49,6 +53,9 @@
     caller_token submit(job_submission request, reply_handler on_reply);
     // The caller's connection is closed. Its handler will not be called.
     void caller_left(caller_token token);
+    // If the process was suspended or is far behind with its events, drops the requests of callers that have
+    // left meanwhile. Done before each event of the entry, and to be called before held requests are served.
+    void catch_up_after_pause();
     void query_state(const job_id& job, time_point answer_by, reply_handler on_reply);
     void cancel(const job_id& job, time_point answer_by, reply_handler on_reply);
     std::uint64_t pending(const std::string& queue) const { return core_.pending(queue); }
@@ -78,6 +85,7 @@
 
 private:
     void handle_event(const std::function<void()>& event);
+    void drop_departed_callers();
     void perform_output();
     void schedule_wakeup();
     void schedule_load_probe();
@@ -98,6 +106,8 @@
     // Fires at a fixed interval. Its lateness shows how long events wait to be processed.
     asio::steady_timer load_probe_timer_;
     overload_detector overload_;
+    pause_detector pauses_;
+    bool is_dropping_callers_ = false;
     connection_shedder shedding_;
     std::string own_address_;
     caller_token last_token_ = 0;
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -65,6 +65,8 @@
 
     std::size_t open_requests() const { return *open_requests_; }
 
+    std::size_t close_abandoned() { return loops_.front()->close_abandoned(); }
+
     void stop_accepting() {
         asio::error_code ignored;
         retry_->cancel();
@@ -194,6 +196,10 @@
     return implementation_->open_requests();
 }
 
+std::size_t http_server::close_abandoned() {
+    return implementation_->close_abandoned();
+}
+
 void http_server::stop_accepting() {
     implementation_->stop_accepting();
 }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -30,6 +30,8 @@
     // Those of http_limits::kept_headers that the request has.
     std::vector<http_header> headers;
     std::string body;
+    // The client had closed the connection when the request was read.
+    bool client_has_left = false;
 
     // The value of a kept header; empty if the request does not have it.
     const std::string& header(const std::string& name) const;
@@ -85,6 +87,10 @@
     const std::string& address() const { return address_; }
     // Requests whose response has not been written completely, without those that nobody answers any more.
     std::size_t open_requests() const;
+    // Closes the connections whose clients have left while a request of theirs is handled. The close handler
+    // is told as usual, before this returns. Returns their number. Only for a server on a context of the
+    // caller.
+    std::size_t close_abandoned();
     // Takes no more connections; those that are open go on. Only for a server on a context of the caller.
     void stop_accepting();
     void stop();
--- a/transport/http_server_connection.cpp
+++ b/transport/http_server_connection.cpp
@@ -4,6 +4,7 @@
 #include "transport/logging.h"
 
 #include <algorithm>
+#include <array>
 #include <exception>
 #include <utility>
 
@@ -143,14 +144,22 @@
     });
 }
 
+bool http_server_connection::has_client_left() {
+    std::array<char, 1> next{};
+    asio::error_code error;
+    socket_.receive(asio::buffer(next), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
+// Reads up to the end of the stream, if it is there already: a process that was suspended finds a request and
+// the end of its connection together, and the handler must know that nobody waits for the response.
 void http_server_connection::read_available() {
     const asio::mutable_buffer buffer = loop_->read_buffer();
+    std::size_t size = 0;
     asio::error_code error;
-    const std::size_t size = socket_.read_some(buffer, error);
-    if (error && error != asio::error::would_block) {
-        close();
-        return;
-    }
+    while (!error && size < buffer.size())
+        size += socket_.read_some(buffer + size, error);
+    client_has_left_ = error && error != asio::error::would_block;
     if (size > 0) {
         last_progress_ = clock::now();
         if (is_ending_) {
@@ -159,6 +168,8 @@
             consume({static_cast<const char*>(buffer.data()), size});
         }
     }
+    if (client_has_left_)
+        close();
     if (is_closed_)
         return;
     loop_->progressed(*this);
@@ -210,6 +221,7 @@
     if (question < end)
         request_.query = target_.substr(question + 1, end - question - 1);
     request_.connection = id_;
+    request_.client_has_left = client_has_left_;
     exchange next;
     next.number = ++last_number_;
     next.is_kept_alive = is_kept_alive_;
--- a/transport/http_server_connection.h
+++ b/transport/http_server_connection.h
@@ -39,6 +39,8 @@
     void start();
     // May be called repeatedly.
     void close();
+    // Whether the client has closed the connection. False while unread data may hide the end of the stream.
+    bool has_client_left();
     // open is released when the response has been written.
     void respond(std::uint64_t number, const http_response& response, std::shared_ptr<void> open);
 
@@ -129,6 +131,8 @@
     bool has_partial_request_ = false;
     bool is_complete_ = false;
     bool expects_continue_ = false;
+    // The end of the stream was read.
+    bool client_has_left_ = false;
 
     std::deque<exchange> exchanges_;
     std::uint64_t last_number_ = 0;
--- a/transport/http_server_loop.cpp
+++ b/transport/http_server_loop.cpp
@@ -73,6 +73,19 @@
     return false;
 }
 
+std::size_t http_server_loop::close_abandoned() {
+    std::size_t closed = 0;
+    auto& busy = list_of(http_server_connection::activity::busy);
+    for (auto next = busy.begin(); next != busy.end();) {
+        const auto connection = *next++;
+        if (!connection->has_client_left())
+            continue;
+        connection->close();
+        ++closed;
+    }
+    return closed;
+}
+
 void http_server_loop::stop() {
     if (std::exchange(is_stopped_, true))
         return;
--- a/transport/http_server_loop.h
+++ b/transport/http_server_loop.h
@@ -34,6 +34,8 @@
     void accepted(http_server_connection::tcp_socket socket, std::uint64_t id);
     // Closes a connection that is not busy, to make room. Returns false if there is none.
     bool close_one();
+    // Closes the connections with a request in progress whose clients have left. Returns their number.
+    std::size_t close_abandoned();
     void stop();
 
     asio::io_context& context() { return *context_; }
