Count the pending jobs of an entry that is gone until they are adopted

What callers saw: an entry is killed while 20 of its stored jobs wait.

Cause: the counts of an entry were kept with its connection.

They are kept by session now, as long as the store has the entry record or the adoption of the session. A successor tells which sessions its own counts include, so no job is counted twice or left out while jobs change hands, also along a chain of successors. The same gap had two more places: the jobs of an entry whose own session was adopted while it was away, and an entry that has just started and has not heard from the others.

The message of the counts has one more field at its end, which entries of the version before ignore.

--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -350,8 +350,8 @@
     }
 }
 
-std::map<std::string, std::uint64_t> entry_core::own_counts() const {
-    std::map<std::string, std::uint64_t> counts;
+pending_counts::by_queue entry_core::own_counts() const {
+    pending_counts::by_queue counts;
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.is_durable() && job.phase == job_phase::open && job.state == job_state::queued)
             ++counts[job.record->queue];
@@ -359,18 +359,41 @@
     return counts;
 }
 
-std::uint64_t entry_core::pending(const std::string& queue) const {
-    std::uint64_t count = 0;
+std::set<incarnation> entry_core::adopted_sessions() const {
+    std::set<incarnation> sessions;
+    for (const auto& [former, state] : successions_)
+        sessions.insert(former);
+    return sessions;
+}
+
+// The open jobs of a session stay accepted until the store has neither its entry record nor its adoption.
+void entry_core::update_counted_sessions() {
+    const bool is_listed = members().version() > 0;
+    if (!is_listed || (members().version() == counted_members_version_ && !are_counted_sessions_outdated_))
+        return;
+    counted_members_version_ = members().version();
+    are_counted_sessions_outdated_ = false;
+    std::set<incarnation> sessions;
+    for (const auto& [name, entry] : members().entries())
+        sessions.insert(entry.record.session);
+    for (const auto& [former, adoption] : members().adoptions())
+        sessions.insert(former);
+    for (const auto& [link, peer] : peers_)
+        sessions.insert(peer.session);
+    sessions.erase(session());
+    pending_counts_.set_sessions(std::move(sessions));
+}
+
+std::optional<std::uint64_t> entry_core::pending(const std::string& queue) const {
+    const std::optional<std::uint64_t> elsewhere = pending_counts_.count(queue, adopted_sessions());
+    if (!elsewhere)
+        return std::nullopt;
+    std::uint64_t count = *elsewhere;
     for (const auto& [id, job] : ledger_.jobs()) {
         if (job.is_durable() && job.phase == job_phase::open && job.state == job_state::queued &&
             job.record->queue == queue)
             ++count;
     }
-    for (const auto& [link, peer] : peers_) {
-        const auto found = peer.counts.find(queue);
-        if (found != peer.counts.end())
-            count += found->second;
-    }
     return count;
 }
 
@@ -379,10 +402,12 @@
     if (now - counts_sent_at_ < limits_.count_interval && !is_config_new)
         return;
     counts_sent_at_ = now;
-    std::map<std::string, std::uint64_t> counts = own_counts();
-    if (counts == sent_counts_ && !is_config_new)
+    pending_counts::by_queue counts = own_counts();
+    std::set<incarnation> adopted = adopted_sessions();
+    if (counts == sent_counts_ && adopted == sent_adopted_ && !is_config_new)
         return;
     sent_counts_ = std::move(counts);
+    sent_adopted_ = std::move(adopted);
     sent_config_revision_ = operator_records_.change_revision();
     for (const auto& [link, peer] : peers_)
         output_.messages.emplace_back(link, make_counts_message());
@@ -393,6 +418,7 @@
     for (const auto& [queue, pending_jobs] : sent_counts_)
         message.counts.push_back({queue, pending_jobs});
     message.config_revision = sent_config_revision_;
+    message.adopted = {sent_adopted_.begin(), sent_adopted_.end()};
     return message;
 }
 
--- a/coordination/entry_core.cpp
+++ b/coordination/entry_core.cpp
@@ -67,7 +67,7 @@
 
 void entry_core::link_closed(link_number link) {
     is_session_update_needed_ = true;
-    peers_.erase(link);
+    are_counted_sessions_outdated_ = peers_.erase(link) > 0 || are_counted_sessions_outdated_;
     if (agent_view* agent = agents_.find_by_link(link)) {
         // An agent that accepts no runs and has none closes the connection itself: it shuts down, or serves
         // other entries.
@@ -176,9 +176,14 @@
     if (peer == peers_.end())
         return;
     operator_records_.expect(message.config_revision, now);
-    peer->second.counts.clear();
+    // Without a session an entry has no durable jobs.
+    if (peer->second.session.number == 0)
+        return;
+    pending_counts::by_queue counts;
     for (const queue_count& count : message.counts)
-        peer->second.counts[count.queue] = count.pending;
+        counts[count.queue] = count.pending;
+    pending_counts_.told(peer->second.session, std::move(counts),
+                         {message.adopted.begin(), message.adopted.end()});
 }
 
 void entry_core::collect_store_calls(time_point now) {
--- a/coordination/entry_core.h
+++ b/coordination/entry_core.h
@@ -15,6 +15,7 @@
 #include "coordination/job_submission.h"
 #include "coordination/orphan_run_tracker.h"
 #include "coordination/prefix_view.h"
+#include "coordination/presence/pending_counts.h"
 #include "coordination/run_planner.h"
 #include "coordination/run_time_model.h"
 #include "coordination/session_manager.h"
@@ -59,8 +60,9 @@
     // The caller's connection was closed, so it gets no reply. A non-durable job is dropped when its last
     // caller leaves.
     void caller_left(caller_token token, time_point now);
-    // Number of durable jobs of the queue, at all entries, that are accepted and have not started.
-    std::uint64_t pending(const std::string& queue) const;
+    // Number of durable jobs of the queue, at all entries, that are accepted and have not started. Empty
+    // while the number of another entry is not known, after this one has started.
+    std::optional<std::uint64_t> pending(const std::string& queue) const;
 
     // Connections. A connection that this process dialed leads to another entry.
     void link_opened(link_number link, bool is_dialed, time_point now);
@@ -95,12 +97,11 @@
     std::map<std::string, link_number> peers() const;
 
 private:
-    // A connected entry and its number of pending jobs by queue.
+    // A connected entry.
     struct peer_state {
         std::string name;
         incarnation session;
         bool lends_agents = false;
-        std::map<std::string, std::uint64_t> counts;
     };
 
     // The component that made a call to the store and gets the reply.
@@ -220,7 +221,10 @@
     void collect_store_calls(time_point now);
     void send_counts(time_point now);
     queue_counts make_counts_message() const;
-    std::map<std::string, std::uint64_t> own_counts() const;
+    pending_counts::by_queue own_counts() const;
+    // The former sessions whose jobs are in the ledger.
+    std::set<incarnation> adopted_sessions() const;
+    void update_counted_sessions();
 
     void record_timing(entry_timing what, std::chrono::nanoseconds time) {
         output_.timings.emplace_back(what, time);
@@ -254,6 +258,11 @@
     time_point connections_requested_at_{};
 
     std::map<link_number, peer_state> peers_;
+    pending_counts pending_counts_;
+    // The sessions whose counts are kept may have changed.
+    bool are_counted_sessions_outdated_ = false;
+    // Version of the members when these sessions were last updated.
+    std::uint64_t counted_members_version_ = 0;
     ended_jobs ended_jobs_;
     // Callers that wait for the outcome of the acceptance of a job, and callers that wait for its end.
     waiting_callers acceptance_waiters_;
@@ -267,7 +276,9 @@
     std::map<std::uint64_t, std::pair<store_call_source, std::uint64_t>> pending_store_calls_;
     wall_time wall_{};
     time_point counts_sent_at_{};
-    std::map<std::string, std::uint64_t> sent_counts_;
+    // The counts that were last sent to the other entries, and the former sessions that they include.
+    pending_counts::by_queue sent_counts_;
+    std::set<incarnation> sent_adopted_;
     std::uint64_t sent_config_revision_ = 0;
     // Entry addresses last sent to the agents, and the last version of the members that was checked for
     // changed addresses.
--- a/coordination/entry_sessions.cpp
+++ b/coordination/entry_sessions.cpp
@@ -38,6 +38,7 @@
             send_welcome_to_all();
     }
     take_adopted(now);
+    update_counted_sessions();
     request_agent_connections(now);
     settle_successions(now);
     for (decision& made : session_manager_.take_decisions())
@@ -52,6 +53,8 @@
         if (job.is_durable())
             durable_jobs.push_back(id);
     }
+    // They stay accepted, and the successor has not told yet that it counts them.
+    pending_counts_.told(known_session_, own_counts(), adopted_sessions());
     commits_.clear_session();
     locator_.abandon_withdrawals(now);
     successions_.clear();
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -58,7 +58,7 @@
     void catch_up_after_pause();
     void query_state(const job_id& job, time_point answer_by, reply_handler on_reply);
     void cancel(const job_id& job, time_point answer_by, reply_handler on_reply);
-    std::uint64_t pending(const std::string& queue) const { return core_.pending(queue); }
+    std::optional<std::uint64_t> pending(const std::string& queue) const { return core_.pending(queue); }
 
     const deployment_config* config() const { return core_.config(); }
     // True if new connections should be opened to this entry: it can serve requests and is not overloaded.
--- a/state/queue_counts.h
+++ b/state/queue_counts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/incarnation.h"
 #include "state/queue_count.h"
 
 #include <cstdint>
@@ -15,9 +16,11 @@
     // Store revision of the latest change to the operators' records that the sender knows. These records are
     // the configuration and the availability zones that are out of service.
     std::uint64_t config_revision = 0;
+    // The former sessions whose jobs the sender has adopted and counts.
+    std::vector<incarnation> adopted;
 
     static constexpr auto members() {
-        return std::make_tuple(&queue_counts::counts, &queue_counts::config_revision);
+        return std::make_tuple(&queue_counts::counts, &queue_counts::config_revision, &queue_counts::adopted);
     }
 };
 
