Let only its owner stop a run

An entry that was away drops a best-effort job and sends stop requests for its runs. If the caller has sent the job to another entry meanwhile, the runs of that entry have the same numbers, and an agent stopped them, whoever asked.

Runs without an owner may still be stopped by any entry, since only the store tells that nobody needs them.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -189,6 +189,7 @@
     void end_run(run_record& record, run_state state, run_refusal reason, time_point now);
     void request_stop(run_record& record, run_refusal reason, time_point now);
     void report_refusal(const run_ref& run, link_number link, run_refusal reason);
+    bool may_stop(link_number link, const run_record& record) const;
     void refuse_queued(run_refusal reason, time_point now);
     std::optional<run_refusal> refusal_reason() const;
     bool is_owner_present(const incarnation& owner, bool is_durable, time_point now) const;
--- a/coordination/agent_links.cpp
+++ b/coordination/agent_links.cpp
@@ -215,12 +215,19 @@
     start_queued(now);
 }
 
+// Two entries may have the same job whose runs are not kept, if its caller has sent it to both. Their runs
+// have the same numbers, and only the owner of a run may stop it.
+bool agent_core::may_stop(link_number link, const run_record& record) const {
+    const link_state& state = links_.at(link);
+    return record.owner.name.empty() || record.owner == state.process || record.owner == state.session;
+}
+
 void agent_core::receive(link_number link, const run_stop_request& message, time_point now) {
     if (deposed_owners_.contains(message.owner))
         return;
     for (const run_ref& run : message.runs) {
         run_record* record = runs_.find(run);
-        if (record == nullptr)
+        if (record == nullptr || !may_stop(link, *record))
             report_refusal(run, link, run_refusal::withdrawn);
         else if (is_final(record->state))
             report(*record, now);
--- a/tests/agent_core_test.cpp
+++ b/tests/agent_core_test.cpp
@@ -1077,6 +1077,26 @@
     EXPECT_FALSE(take_order<stop_order>());
 }
 
+// Guards against an entry that stops the run of another one: an entry that was away drops a job, and its runs
+// have the numbers of those at the entry to which the caller has sent the job since.
+TEST_F(agent_core_test, lets_only_the_owner_of_a_run_stop_it) {
+    constexpr link_number other_link = 2;
+    const incarnation other_process{"other", 7};
+    connect_and_synchronize();
+    send_starts(1, false);
+    answer(*take_order<start_order>(), backend_verdict::accepted);
+    agent_.link_opened(other_link, now_);
+    agent_.received(other_link, entry_welcome{other_process, {"other", 8}, {}, {}, 0}, now_);
+    agent_.received(other_link, owner_pong{now_.time_since_epoch().count(), true}, now_);
+    collect();
+    agent_.received(other_link, run_stop_request{other_process, {run_of(0)}}, now_);
+    collect();
+    EXPECT_FALSE(take_order<stop_order>());
+    agent_.received(entry_link, run_stop_request{process_, {run_of(0)}}, now_);
+    collect();
+    EXPECT_TRUE(take_order<stop_order>());
+}
+
 // Guards against found runs that no owner claims and that would block new starts on the backend server.
 TEST_F(agent_core_test, stops_found_runs_that_no_owner_claims) {
     connect();
