Count the contact to the store from the send time of a call

An entry that was frozen reads replies that the store gave before the freeze. They counted as contact at the time of reading, so for up to 6 s it took itself for the owner of durable jobs that another entry may have adopted. The new test fails with the former time.

--- a/coordination/session_manager.cpp
+++ b/coordination/session_manager.cpp
@@ -540,7 +540,8 @@
         if (store_failing_since_ || last_contact_ == time_point{})
             store_available_since_ = now;
         store_failing_since_.reset();
-        last_contact_ = now;
+        // A process that was suspended reads old replies, so the send time of the call counts.
+        last_contact_ = std::max(last_contact_, sent.sent);
         if (sent.call_purpose != purpose::watch_members)
             round_trip_.answered(now - sent.sent);
     }
--- a/coordination/session_manager.h
+++ b/coordination/session_manager.h
@@ -78,7 +78,7 @@
     const incarnation& session() const { return session_; }
     std::uint64_t entry_revision() const { return entry_revision_; }
     const member_directory& members() const { return members_; }
-    // Time of the store's last reply of any kind. A store_failure does not count as a reply.
+    // When the latest call was sent that the store has replied to. A store_failure does not count as a reply.
     time_point last_contact() const { return last_contact_; }
 
 private:
--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -75,6 +75,26 @@
     EXPECT_EQ(session_manager_.session().number, 1U);
 }
 
+// Guards against an entry that was frozen and takes an old reply of the store for proof that it still owns its
+// jobs, which another entry may have adopted meanwhile.
+TEST_F(session_manager_test, counts_its_contact_to_the_store_from_the_send_time_of_a_call) {
+    answer_calls();
+    now_ += milliseconds{700};
+    const time_point sent = now_;
+    bool is_renewed = false;
+    for (const session_manager::call& call : session_manager_.take_calls(now_)) {
+        if (!std::holds_alternative<lease_renew>(call.what))
+            continue;
+        const std::optional<store_reply> reply = store_.call(call.what, now_);
+        ASSERT_TRUE(reply);
+        now_ += milliseconds{8000};
+        session_manager_.replied(call.id, *reply, now_);
+        is_renewed = true;
+    }
+    ASSERT_TRUE(is_renewed);
+    EXPECT_EQ(session_manager_.last_contact(), sent);
+}
+
 // Guards against an entry whose claim was committed but whose answer was lost, and which then takes its own
 // record for that of another session and adopts it.
 TEST_F(session_manager_test, recognizes_its_own_claim_when_the_answer_was_lost) {
