Let the clock decide before other events after a pause

An entry that wakes handled whatever event came first. Jobs whose time had passed during the freeze were still open then, and their tasks could be placed once more before the next tick dropped them. Departed callers are dropped first, then the tick runs, then the event.

--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -100,6 +100,8 @@
     is_dropping_callers_ = true;
     const std::size_t dropped = interfaces_.close_abandoned();
     is_dropping_callers_ = false;
+    // Jobs whose time is over, and runs that have certainly ended, are known by the clock alone.
+    core_.tick(clock_.now(), clock_.wall_now());
     log_event(log_level::warn, component, "the process was suspended or is far behind with its events",
               {{"callers_left", static_cast<std::int64_t>(dropped)}});
 }
