Bound the lease that is renewed before the lists are read

Read on the way: the renewal at such a moment passed over detached runs, which may be at the backend server that is taken up. It gave the whole lease to runs whose entry had been silent for 0.7 s, beyond the time after which their caller comes back. They bound the lease now as well; the new test fails without that.

--- a/coordination/agent_orders.cpp
+++ b/coordination/agent_orders.cpp
@@ -119,14 +119,23 @@
 // The caller of a non-durable job sends it to another entry once its own has been away for
 // caller_resend_delay. The run must have ended by then even if this agent stops working now, so the lease is
 // bounded by the last contact to the owner and not only by the stop order that follows it. How long the owner
-// of a run that is not claimed or not even listed yet has been away is not known, so nothing is renewed: the
-// leases that a former process of this agent requested have the same bound.
+// of an unclaimed run has been away is not known, so nothing is renewed: the leases that a former process of
+// this agent requested have the same bound. Before the lists are read, there may be such runs, and runs that
+// were detached may be at the present backend server.
 milliseconds agent_core::lease_to_request(time_point now) {
-    if (!is_synchronized_ || has_unclaimed_runs())
+    if (!is_synchronized_ && now < former_leases_expired_at_)
         return milliseconds{0};
     milliseconds lease = limits_.requested_lease();
     runs_.for_each([&](const run_record& record) {
-        if (record.is_durable || !uses_present_capacity(record))
+        const bool may_be_present =
+            is_synchronized_ ? uses_present_capacity(record) : uses_capacity(record.state);
+        if (!may_be_present)
+            return;
+        if (record.owner.name.empty()) {
+            lease = milliseconds{0};
+            return;
+        }
+        if (record.is_durable)
             return;
         const auto owner = owners_.find(record.owner);
         const time_point contact = owner == owners_.end() ? record.accepted : owner->second.last_contact;
--- a/tests/backend_identity_test.cpp
+++ b/tests/backend_identity_test.cpp
@@ -194,6 +194,37 @@
     EXPECT_EQ(last_reported_state(), run_state::running);
 }
 
+// Guards against two runs of a best-effort task whose entry is gone: its backend server is taken up again,
+// and the lease that is renewed before the lists are read outlasts the time after which the caller comes
+// back.
+TEST_F(backend_identity_test, requests_no_lease_beyond_the_resubmission_before_the_lists_are_read) {
+    // No former process of the agent can have left runs any more.
+    keep_serving(agent_limits{}.max_lease_lifetime());
+    const time_point contact = now_;
+    const auto wait = [&](milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds{20}) {
+            now_ += milliseconds{20};
+            agent_.tick(now_);
+            collect();
+            serve_orders();
+        }
+    };
+    answering_ = "replacement";
+    wait(milliseconds{700});
+    constexpr std::int64_t clock_ms = 50000;
+    announce("present", 1000, false, clock_ms);
+    std::size_t leases = 0;
+    for (const backend_order& order : orders_) {
+        const auto* hold = std::get_if<hold_order>(&order.action);
+        if (hold == nullptr || !hold->renews)
+            continue;
+        ++leases;
+        const milliseconds lease{order.lease_until_ms - clock_ms};
+        EXPECT_LE(now_ + lease * 51 / 50, contact + default_caller_resend_delay);
+    }
+    EXPECT_GT(leases, 0U);
+}
+
 // Guards against a cancelled run that goes on: its stop order was lost with the connection to a backend
 // server that was given up and taken up again.
 TEST_F(backend_identity_test, repeats_a_stop_order_to_a_backend_server_that_is_taken_up_again) {
