Await no counts of peers without a session, and name the catching up

A peer without a session tells no counts, so it must not be awaited. So far the empty session of a starting entry removed it from the list by chance; no fault was seen. The step after a pause also runs the tick, which its name and description say now.

--- a/coordination/agent_core.h
+++ b/coordination/agent_core.h
@@ -316,7 +316,7 @@
     std::set<std::string> zones_out_;
     std::uint64_t zones_version_ = 0;
     time_point last_orphan_offer_{};
-    // When an entry was last sent the inventories for the first time.
+    // When inventories were last sent because an entry had connected or they could be published.
     std::optional<time_point> entry_introduced_at_;
     agent_profile sent_profile_;
     // leaves_at_ when sent_profile_ was sent.
--- a/coordination/entry_callers.cpp
+++ b/coordination/entry_callers.cpp
@@ -378,8 +378,10 @@
         sessions.insert(entry.record.session);
     for (const auto& [former, adoption] : members().adoptions())
         sessions.insert(former);
-    for (const auto& [link, peer] : peers_)
-        sessions.insert(peer.session);
+    for (const auto& [link, peer] : peers_) {
+        if (peer.session.number != 0)
+            sessions.insert(peer.session);
+    }
     sessions.erase(session());
     pending_counts_.set_sessions(std::move(sessions));
 }
--- a/daemon/durable_entry.cpp
+++ b/daemon/durable_entry.cpp
@@ -84,7 +84,7 @@
         event();
         return;
     }
-    drop_departed_callers();
+    catch_up();
     event();
     perform_output();
     schedule_wakeup();
@@ -92,7 +92,7 @@
 
 // The end of a connection is one event among many, so after a pause tasks could be placed for callers whose
 // departure waits to be read. Such a caller may have sent its job to another entry already.
-void durable_entry::drop_departed_callers() {
+void durable_entry::catch_up() {
     if (!interfaces_.close_abandoned || !pauses_.is_paused(clock_.now()))
         return;
     pauses_.turned(clock_.now());
--- a/daemon/durable_entry.h
+++ b/daemon/durable_entry.h
@@ -54,7 +54,8 @@
     // The caller's connection is closed. Its handler will not be called.
     void caller_left(caller_token token);
     // If the process was suspended or is far behind with its events, drops the requests of callers that have
-    // left meanwhile. Done before each event of the entry, and to be called before held requests are served.
+    // left meanwhile and the jobs whose time is over. Done before each event of the entry, and to be called
+    // before held requests are served.
     void catch_up_after_pause();
     void query_state(const job_id& job, time_point answer_by, reply_handler on_reply);
     void cancel(const job_id& job, time_point answer_by, reply_handler on_reply);
@@ -85,7 +86,7 @@
 
 private:
     void handle_event(const std::function<void()>& event);
-    void drop_departed_callers();
+    void catch_up();
     void perform_output();
     void schedule_wakeup();
     void schedule_load_probe();
