--- a/tests/session_manager_test.cpp
+++ b/tests/session_manager_test.cpp
@@ -75,8 +75,8 @@
     EXPECT_EQ(session_manager_.session().number, 1U);
 }
 
-// Guards against an entry that was frozen and takes an old reply of the store for proof that it still owns its
-// jobs, which another entry may have adopted meanwhile.
+// Guards against an entry that was frozen and takes an old reply of the store for proof that it still owns
+// its jobs, which another entry may have adopted meanwhile.
 TEST_F(session_manager_test, counts_its_contact_to_the_store_from_the_send_time_of_a_call) {
     answer_calls();
     now_ += milliseconds{700};
