--- a/tests/caller_departure_test.cpp
+++ b/tests/caller_departure_test.cpp
@@ -182,5 +182,17 @@
     EXPECT_EQ(entry_.core().open_jobs(), 1U);
 }
 
+// Guards against new runs of a job whose time passed while the entry was frozen and whose caller has not
+// closed its connection: the event that comes first must not find the job open.
+TEST_F(caller_departure_test, a_job_whose_time_passed_during_a_pause_is_ended_before_the_first_event) {
+    client waiting{callers_->address()};
+    waiting.submit("00000000000000aa", true);
+    run_until([this] { return entry_.core().open_jobs() == 1; });
+    wait_for_a_turn();
+    clock_.advance(milliseconds{1600});
+    entry_.query_state("00000000000000cc", clock_.now() + milliseconds{1500}, [](const caller_reply&) {});
+    EXPECT_EQ(entry_.core().open_jobs(), 0U);
+}
+
 } // namespace
 } // namespace persimmonstile::platform
